--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+GO ?= go
+BIN := bin
+TOOLS := $(CURDIR)/$(BIN)/tools
+GOFUMPT := $(TOOLS)/gofumpt
+REVIVE := $(TOOLS)/revive
+SOURCES := $(shell git ls-files --cached --others --exclude-standard '*.go')
+HAND_WRITTEN := $(filter-out %.pb.go,$(SOURCES))
+
+.PHONY: build test format-check lint unit demo bench generate tools clean
+
+build: ## Builds the programs into bin/.
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+tools: $(GOFUMPT) $(REVIVE)
+
+$(GOFUMPT):
+	GOBIN=$(TOOLS) $(GO) install mvdan.cc/gofumpt@v0.12.0
+
+$(REVIVE):
+	GOBIN=$(TOOLS) $(GO) install github.com/mgechev/revive@v1.17.0
+
+format-check: $(GOFUMPT)
+	@out=$$($(GOFUMPT) -l $(HAND_WRITTEN)); if [ -n "$$out" ]; then echo "not formatted with gofumpt:"; echo "$$out"; exit 1; fi
+
+lint: $(REVIVE)
+	$(GO) vet ./...
+	$(REVIVE) -config revive.toml -set_exit_status ./...
+
+unit:
+	$(GO) test -count=1 -timeout=20m ./...
+
+test: format-check lint unit ## Formatter check, linter and all tests.
+
+demo: build ## Runs the whole path as separate processes on loopback.
+	bash scripts/demo.sh
+
+bench: build ## Prints one JSON line for each figure.
+	bash scripts/bench.sh
+
+generate: ## Regenerates schema/*.pb.go; needs protoc and protoc-gen-go.
+	protoc --proto_path=. --go_out=. --go_opt=module=dandelionrock.example/dandelionrock schema/*.proto
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/internal/clock/clock_test.go
@@ -0,0 +1,27 @@
+package clock
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a wait that is not longer, or a hold that is not shorter, than
+// the time on the other clock.
+func TestDrift(t *testing.T) {
+	for _, d := range []time.Duration{0, time.Millisecond, time.Hour} {
+		if got := DefaultDrift.Stretch(d); got <= d {
+			t.Errorf("Stretch(%v) = %v, want more than %v", d, got, d)
+		}
+		if got := DefaultDrift.Shrink(d); got >= d {
+			t.Errorf("Shrink(%v) = %v, want less than %v", d, got, d)
+		}
+	}
+}
+
+// Guards against a clock that runs backwards.
+func TestBootIsMonotonic(t *testing.T) {
+	a := Boot()
+	if b := Boot(); b.Before(a) {
+		t.Errorf("Boot() = %v after %v", b, a)
+	}
+}
