--- /dev/null
+++ b/config/print.go
@@ -0,0 +1,68 @@
+package config
+
+import (
+	"bytes"
+	"strconv"
+	"text/template"
+)
+
+// organisationText states every value, so that a text does not change its
+// meaning with the defaults.
+var organisationText = template.Must(template.New("").Funcs(template.FuncMap{
+	"duration": formatDuration,
+	"float":    formatFloat,
+	"list":     formatList,
+}).Parse(`organisation = "{{.Name}}"
+{{range .Services}}
+[[services]]
+name = "{{.Name}}"
+depends-on = {{list .DependsOn}}
+idempotent = {{.Idempotent}}
+shard-count = {{.ShardCount}}
+timeout = "{{duration .Timeout}}"
+max-timeout = "{{duration .MaxTimeout}}"
+max-body = "{{.MaxBody}}"
+max-answer = "{{.MaxAnswer}}"
+hold-time = "{{duration .HoldTime}}"
+grant-ttl = "{{duration .GrantTTL}}"
+evacuate-after = "{{duration .EvacuateAfter}}"
+rebalance-above = {{float .RebalanceAbove}}
+{{range .Upstreams}}
+[[services.upstreams]]
+name = "{{.Name}}"
+address = "{{.Address}}"
+region = "{{.Region}}"
+failure-domain = "{{.FailureDomain}}"
+slots = {{.Slots}}
+connections = {{.Connections}}
+fencing = "{{.Fencing}}"
+{{end}}{{end}}{{range .Accounts}}
+[[client-accounts]]
+name = "{{.Name}}"
+credential-sha256 = "{{printf "%x" .CredentialSHA256}}"
+services = {{list .Services}}
+weight = {{.Weight}}
+rate = {{float .Rate}}
+concurrency = {{.Concurrency}}
+{{end}}`))
+
+// Text returns a configuration text that Parse reads as o, if o is valid.
+func (o *Organisation) Text() []byte {
+	var b bytes.Buffer
+	if err := organisationText.Execute(&b, o); err != nil {
+		// The template reads only fields and functions that cannot fail.
+		panic("config: " + err.Error())
+	}
+	return b.Bytes()
+}
+
+func formatList(names []string) string {
+	b := []byte{'['}
+	for i, n := range names {
+		if i > 0 {
+			b = append(b, ", "...)
+		}
+		b = strconv.AppendQuote(b, n)
+	}
+	return string(append(b, ']'))
+}
--- a/config/types.go
+++ b/config/types.go
@@ -19,6 +19,8 @@
 
 // Organisation is the checked configuration of one organisation.
 type Organisation struct {
+	// File is the name of the text, for faults that are found later.
+	File     string
 	Name     string
 	Services []*Service
 	Accounts []*Account
@@ -26,6 +28,8 @@
 
 // Service is a keyed service of an organisation.
 type Service struct {
+	// Line is where the text states the shard count, or else the service.
+	Line      int
 	Name      string
 	DependsOn []string
 	// Idempotent permits a retry of every request; GET and HEAD may always be
@@ -41,9 +45,10 @@
 	GrantTTL            time.Duration
 	EvacuateAfter       time.Duration
 	// RebalanceAbove is the ratio of highest to mean load above which shards
-	// move; 0 turns it off.
+	// move; 0 turns it off. 1.25 if absent.
 	RebalanceAbove float64
-	// Upstreams have distinct names and addresses. There is at least one.
+	// Upstreams have distinct names. There is at least one. No other upstream
+	// of the organisation has the same address.
 	Upstreams []*Upstream
 }
 
