Add relay: calls between instances over net/rpc

Cause: entries call homes, and instances exchange heartbeats, over net/rpc with protobuf messages; a caller must learn whether a failed call can have been received.

--- /dev/null
+++ b/internal/relay/server.go
@@ -0,0 +1,101 @@
+package relay
+
+import (
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Server answers calls. Use NewServer.
+type Server struct {
+	rpc     *rpc.Server
+	options Options
+
+	mu     sync.Mutex
+	closed bool
+	listen map[net.Listener]struct{}
+	conns  map[net.Conn]*serverCodec
+	group  sync.WaitGroup
+}
+
+// NewServer returns a server without receivers.
+func NewServer(o Options) *Server {
+	return &Server{
+		rpc: rpc.NewServer(), options: o.withDefaults(),
+		listen: map[net.Listener]struct{}{}, conns: map[net.Conn]*serverCodec{},
+	}
+}
+
+// Register publishes the methods of r under its type name, by the rules of
+// net/rpc; arguments and replies are protobuf messages.
+func (s *Server) Register(r any) error { return s.rpc.Register(r) }
+
+// RegisterName publishes the methods of r under the given name.
+func (s *Server) RegisterName(name string, r any) error { return s.rpc.RegisterName(name, r) }
+
+// Serve accepts connections until Close, then returns nil. It closes l.
+func (s *Server) Serve(l net.Listener) error {
+	defer l.Close()
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return nil
+	}
+	s.listen[l] = struct{}{}
+	s.mu.Unlock()
+	for {
+		c, err := l.Accept()
+		if err == nil {
+			s.start(c)
+			continue
+		}
+		if t, ok := err.(net.Error); ok && t.Timeout() {
+			continue
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.listen, l)
+		if s.closed {
+			return nil
+		}
+		return errors.Wrap(err, "accept")
+	}
+}
+
+func (s *Server) start(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		_ = c.Close()
+		return
+	}
+	k := newServerCodec(c, s.options)
+	s.conns[c] = k
+	s.group.Go(func() {
+		s.rpc.ServeCodec(k)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.conns, c)
+	})
+}
+
+// Close stops listening, tells the clients to send no more calls and waits for
+// the calls in progress. A client that has not closed its connection within
+// the drain time is not read any further.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	s.closed = true
+	for l := range s.listen {
+		_ = l.Close()
+	}
+	for c, k := range s.conns {
+		_ = c.SetReadDeadline(time.Now().Add(s.options.DrainTime))
+		s.group.Go(func() { _, _ = k.out.append(header{method: methodLeave}, nil, true) })
+	}
+	s.mu.Unlock()
+	s.group.Wait()
+	return nil
+}
