peer: add failure detector and choice of successors

Cause: instances must notice a lost home within 400 ms, must not suspect all others after a pause of their own, and must agree on who takes over. Change: Detector (Heard, Listed, Expect, Tick, Runs, Live), Confirmed for indirect probes, Successor and First by weighted rendezvous hashing. A run that a home row names before its first heartbeat arrives counts as alive for one suspicion time; otherwise a quick restart would cause a second takeover.

--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,154 @@
+package peer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dandelionrock.example/dandelionrock/schema"
+)
+
+const start Time = 1e9
+
+func at(d time.Duration) Time { return start.Add(d) }
+
+func beat(id, incarnation string, clock uint64) *schema.HeartbeatRequest {
+	return &schema.HeartbeatRequest{InstanceId: id, Incarnation: incarnation, Clock: clock}
+}
+
+func detector() *Detector { return New(Config{Self: Instance{ID: "self", Incarnation: "1"}}) }
+
+func wantState(t *testing.T, d *Detector, id string, s State) {
+	t.Helper()
+	if i, _ := d.Instance(id); i.State != s {
+		t.Errorf("state of %s = %v, want %v", id, i.State, s)
+	}
+}
+
+// Guards against a late suspicion, against one caused by a pause of the own
+// process, and against a list that overrules heartbeats.
+func TestSuspicion(t *testing.T) {
+	d := detector()
+	d.Heard(at(0), beat("a", "1", 1))
+	d.Listed(at(0), []Listing{{ID: "b"}, {ID: "c", Leaving: true}})
+	wantState(t, d, "a", Live)
+	wantState(t, d, "b", Unknown)
+	for i := range 9 {
+		d.Tick(at(time.Duration(i) * 50 * time.Millisecond))
+	}
+	wantState(t, d, "a", Live)
+	d.Tick(at(2 * time.Second))
+	wantState(t, d, "a", Live)
+	if d.Pauses() != 1 {
+		t.Errorf("Pauses = %d, want 1", d.Pauses())
+	}
+	for i := range 9 {
+		d.Tick(at(2*time.Second + time.Duration(i)*50*time.Millisecond))
+	}
+	c := d.Tick(at(2401 * time.Millisecond))
+	if len(c) != 2 || c[0].Instance.State != Gone || c[1].Instance.State != Suspect {
+		t.Errorf("changes = %+v, want a gone, as the list lacks it, and b suspect", c)
+	}
+	if len(d.Live()) != 1 {
+		t.Errorf("Live = %v, want only the own instance", d.Live())
+	}
+}
+
+// Guards against a message of an earlier run that replaces the present run,
+// and against a takeover from a run that has just started.
+func TestIncarnations(t *testing.T) {
+	d := detector()
+	d.Heard(at(0), beat("a", "1", 10))
+	d.Expect(at(0), "a", "2")
+	if !d.Runs(at(0), "a", "1") || !d.Runs(at(0), "a", "2") {
+		t.Error("a run that was just expected counts as lost")
+	}
+	d.Heard(at(0), beat("a", "2", 20))
+	d.Heard(at(1), beat("a", "1", 11))
+	if i, _ := d.Instance("a"); i.Incarnation != "2" {
+		t.Errorf("incarnation = %s, want 2", i.Incarnation)
+	}
+	d.Expect(at(0), "a", "1")
+	for i := range 10 {
+		d.Tick(at(time.Duration(i) * 50 * time.Millisecond))
+		d.Heard(at(time.Duration(i)*50*time.Millisecond), beat("a", "2", 21))
+	}
+	if d.Runs(at(450*time.Millisecond), "a", "1") {
+		t.Error("an earlier run counts as alive")
+	}
+	if c := d.Tick(at(450 * time.Millisecond)); len(c) != 0 {
+		t.Errorf("changes = %v, want none after they were returned", c)
+	}
+}
+
+// Guards against a takeover by an instance that is cut off itself, and against
+// one from an instance that others hear.
+func TestConfirmed(t *testing.T) {
+	no, yes, other := Answer{}, Answer{true, "1"}, Answer{true, "2"}
+	for _, x := range []struct {
+		asked   int
+		answers []Answer
+		want    bool
+	}{
+		{0, nil, true},
+		{1, nil, false},
+		{1, []Answer{no}, true},
+		{3, []Answer{no}, false},
+		{3, []Answer{no, other}, true},
+		{3, []Answer{no, no, yes}, false},
+	} {
+		if got := Confirmed("1", x.asked, x.answers); got != x.want {
+			t.Errorf("Confirmed(1, %d, %v) = %t", x.asked, x.answers, got)
+		}
+	}
+}
+
+func fleet() []Instance {
+	var r []Instance
+	for i := range 12 {
+		r = append(r, Instance{
+			ID: fmt.Sprintf("i%d", i), Region: fmt.Sprintf("r%d", i/4), FailureDomain: fmt.Sprintf("d%d", i/2),
+		})
+	}
+	return r
+}
+
+// Guards against a successor in the failure domain that has just failed, and
+// against changes of successors that a leave or a join doesn't call for.
+func TestSuccessorIsStable(t *testing.T) {
+	all, taken := fleet(), map[string]int{}
+	for u := range 600 {
+		name, p := fmt.Sprint(u), Place{"r1", "d2"}
+		s := Successor(name, p, all)
+		if s[0].FailureDomain != "d3" || s[2].FailureDomain != "d2" || s[4].Region == "r1" {
+			t.Fatalf("order = %v", s)
+		}
+		taken[s[0].ID]++
+		for out := range all {
+			less := append(append([]Instance{}, all[:out]...), all[out+1:]...)
+			if n := Successor(name, p, less); all[out].ID != s[0].ID && n[0].ID != s[0].ID {
+				t.Fatalf("successor of %s changed from %s to %s when %s left", name, s[0].ID, n[0].ID, all[out].ID)
+			}
+		}
+	}
+	if taken["i6"] < 240 || taken["i7"] < 240 {
+		t.Errorf("successors are spread as %v, want about 300 each", taken)
+	}
+}
+
+// Guards against a weight that doesn't act in proportion.
+func TestFirstWeighted(t *testing.T) {
+	all, n := fleet(), 0
+	all[3].Weight = 4
+	for s := range 3000 {
+		if i, ok := First(fmt.Sprint(s), all); ok && i.ID == "i3" {
+			n++
+		}
+	}
+	if n < 700 || n > 900 {
+		t.Errorf("the instance of weight 4 of 15 is first for %d of 3000 services, want about 800", n)
+	}
+	if _, ok := First("s", nil); ok {
+		t.Error("First without instances reports one")
+	}
+}
