--- /dev/null
+++ b/internal/home/dispatch.go
@@ -0,0 +1,164 @@
+package home
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dandelionrock.example/dandelionrock/config"
+	"dandelionrock.example/dandelionrock/fence"
+	"dandelionrock.example/dandelionrock/lease"
+	"dandelionrock.example/dandelionrock/queue"
+	"dandelionrock.example/dandelionrock/schema"
+	"dandelionrock.example/dandelionrock/shard"
+)
+
+// Reasons of a not-run reply.
+const (
+	reasonMoved      = "moved"
+	reasonNotGranted = "not-granted"
+	reasonNotHome    = "not-home"
+	reasonQueueFull  = "queue-full"
+	reasonDeadline   = "deadline"
+	reasonCancelled  = "cancelled"
+)
+
+// notRun returns the reply to a request that no upstream has executed.
+func notRun(reason string, retry bool) *schema.ForwardReply {
+	return &schema.ForwardReply{Outcome: schema.Outcome_OUTCOME_NOT_RUN, Reason: reason, Retry: retry}
+}
+
+// Forward executes a request at the upstream. c ends at the request's deadline.
+func (h *Home) Forward(c context.Context, r *schema.ForwardRequest) *schema.ForwardReply {
+	y := h.forward(c, r)
+	if y.GetUpstream() == "" {
+		y.Upstream = h.c.Upstream.Name
+	}
+	y.Home, y.Term = h.c.Instance, uint64(h.c.Lease.Term)
+	return y
+}
+
+// run executes a request once, or returns a reply that says that it did not run.
+func (h *Home) run(c context.Context, r *schema.ForwardRequest) *schema.ForwardReply {
+	if y := h.refuse(r.GetKey()); y != nil {
+		return y
+	}
+	free, err := h.gate.Acquire(c, r.GetClientAccount(), h.c.Weight(r.GetClientAccount()))
+	if err != nil {
+		return notRun(queueReason(err), errors.Is(err, queue.ErrClosed))
+	}
+	defer free()
+	t, err := h.begin(r.GetKey())
+	if err != nil {
+		return notRun(dispatchReason(err), true)
+	}
+	y, clean := h.c.Carrier.Do(c, t, r)
+	h.end(c, t.Shard, clean)
+	h.hot.add(t.Shard, r.GetKey())
+	y.Epoch = uint64(t.Epoch)
+	return y
+}
+
+// refuse returns a reply for a request that would be refused behind the queue,
+// or nil. It spares the caller the wait.
+func (h *Home) refuse(key string) *schema.ForwardReply {
+	i, owner := h.find(key)
+	if owner != h.c.Upstream.Name {
+		return notRun(reasonMoved, true)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case h.lease.Superseded():
+		return notRun(reasonNotHome, true)
+	case h.lease.Releasing(i):
+		return notRun(reasonMoved, true)
+	case h.checked() && !h.lease.Granted(h.c.Now(), i):
+		return notRun(reasonNotGranted, true)
+	}
+	return nil
+}
+
+func (h *Home) find(key string) (shard.ID, string) {
+	m := h.c.Directory.Map(h.c.Lease.Organisation, h.c.Service.Name)
+	if m == nil {
+		return 0, ""
+	}
+	i, owner, _ := m.Find(key)
+	return i, owner
+}
+
+// begin checks the authority over the key and counts the request as in flight.
+// Nothing may wait between begin and the write of the request.
+func (h *Home) begin(key string) (fence.Token, error) {
+	i, owner := h.find(key)
+	if owner != h.c.Upstream.Name {
+		return fence.Token{}, lease.ErrNotHeld
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t, err := h.lease.CanDispatch(h.c.Now(), i)
+	if err != nil {
+		return fence.Token{}, err
+	}
+	f := h.flights[i]
+	if f == nil {
+		f = &flight{}
+		h.flights[i] = f
+	}
+	f.count++
+	return t, nil
+}
+
+// end takes a request out of the count. One that did not end cleanly may be
+// executed until its deadline, which the upstream honours.
+func (h *Home) end(c context.Context, i shard.ID, clean bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f := h.flights[i]
+	f.count--
+	if !clean {
+		d, ok := c.Deadline()
+		left := h.c.Lease.MaxRequest
+		if ok {
+			left = min(left, max(0, time.Until(d)))
+		}
+		f.until = max(f.until, h.c.Now().Add(h.c.Lease.Drift.Stretch(left)))
+	}
+	if f.count > 0 {
+		return
+	}
+	if f.until <= h.c.Now() {
+		h.lease.Drained(i)
+		delete(h.flights, i)
+	}
+	if h.lease.Releasing(i) {
+		signal(h.moveNow)
+	}
+}
+
+// checked reports whether the upstream refuses a stale token.
+func (h *Home) checked() bool { return h.c.Upstream.Fencing == config.FencingChecked }
+
+func queueReason(err error) string {
+	switch {
+	case errors.Is(err, queue.ErrFull):
+		return reasonQueueFull
+	case errors.Is(err, queue.ErrDeadline):
+		return reasonDeadline
+	case errors.Is(err, queue.ErrClosed):
+		return reasonNotHome
+	}
+	return reasonCancelled
+}
+
+func dispatchReason(err error) string {
+	switch {
+	case errors.Is(err, lease.ErrSuperseded), errors.Is(err, lease.ErrUnconfirmed):
+		return reasonNotHome
+	case errors.Is(err, lease.ErrNotGranted):
+		return reasonNotGranted
+	}
+	return reasonMoved
+}
--- /dev/null
+++ b/internal/home/home.go
@@ -0,0 +1,366 @@
+// Package home runs the home of one upstream: it renews the upstream's grants,
+// dispatches requests to it, and moves its shards to other upstreams.
+//
+// What may be done is decided by package lease. Three goroutines do it: one
+// renews grants, one reads the home row to confirm the term, one moves shards.
+package home
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dandelionrock.example/dandelionrock/config"
+	"dandelionrock.example/dandelionrock/event"
+	"dandelionrock.example/dandelionrock/fence"
+	"dandelionrock.example/dandelionrock/internal/clock"
+	"dandelionrock.example/dandelionrock/lease"
+	"dandelionrock.example/dandelionrock/order"
+	"dandelionrock.example/dandelionrock/queue"
+	"dandelionrock.example/dandelionrock/route"
+	"dandelionrock.example/dandelionrock/schema"
+	"dandelionrock.example/dandelionrock/shard"
+	"dandelionrock.example/dandelionrock/table"
+)
+
+// Directory is what a home needs of the instance's directory.
+type Directory interface {
+	Apply(rows ...table.Row) []table.Key
+	Row(k table.Key) (table.Row, bool)
+	Map(organisation, service string) *shard.Map
+}
+
+// Upstream carries messages to the upstream.
+type Upstream interface {
+	// Grant sends a grant message and returns the answer.
+	Grant(c context.Context, m *schema.GrantRequest) (*schema.GrantReply, error)
+	// Do sends a request with its token. clean is whether the upstream has
+	// certainly ended, or never begun, its work on the request.
+	Do(c context.Context, t fence.Token, r *schema.ForwardRequest) (reply *schema.ForwardReply, clean bool)
+	Close() error
+}
+
+// Config describes one term of a home.
+type Config struct {
+	// Key is that of the home row, Version the one that this term committed.
+	Key     table.Key
+	Version table.Version
+	// Taken is the time of the commit by the wall clock.
+	Taken    time.Time
+	Lease    lease.Config
+	Service  *config.Service
+	Upstream *config.Upstream
+	// Instance is the id of the own instance.
+	Instance  string
+	Directory Directory
+	Store     table.Store
+	Carrier   Upstream
+	// Announce tells the other instances of rows that are known to be
+	// committed.
+	Announce func(rows []table.Row)
+	// Targets proposes new owners for all shards of the upstream.
+	Targets func() ([]shard.Move, error)
+	// Weight returns the weight of a client account.
+	Weight func(account string) int
+	Events *event.Log
+	// Now reads the boot clock.
+	Now func() clock.Time
+}
+
+// Home is one term of the home of one upstream. Use New.
+type Home struct {
+	c      Config
+	orders *order.Book[*schema.ForwardReply]
+	gate   *queue.Gate[string]
+	hot    *load
+
+	mu sync.Mutex
+	// lease, flights, moves and splits are guarded by mu.
+	lease   *lease.Home
+	flights map[shard.ID]*flight
+	// moves holds the wanted owner of each shard that shall move.
+	moves  map[shard.ID]string
+	splits map[shard.KeyHash]bool
+	// synced is whether the shards were read by a read that was sent after the
+	// commit of the term. Older rows may precede a move by the predecessor.
+	synced bool
+	// leaving is when the upstream was first seen draining, 0 if it is not.
+	leaving clock.Time
+	// pending is a transaction whose outcome is not known yet.
+	pending *table.Txn
+
+	renewNow, confirmNow, moveNow chan struct{}
+	stop                          context.CancelFunc
+	life                          context.Context
+	done                          sync.WaitGroup
+}
+
+// flight counts the requests on one shard that the upstream may be executing.
+type flight struct {
+	count int
+	// until is when the last request that did not end cleanly has passed its
+	// deadline.
+	until clock.Time
+}
+
+// grantTimeout bounds one exchange of a grant, as a fraction of the time to
+// live. A lost message must leave time for another one before grants expire.
+const grantTimeout = 2
+
+// renewals is the number of renewals within one time to live.
+const renewals = 5
+
+// New starts the home of a term that is known to be committed.
+func New(c Config) *Home {
+	x, f := context.WithCancel(context.Background())
+	h := &Home{
+		c:          c,
+		lease:      lease.New(c.Lease),
+		orders:     order.New[*schema.ForwardReply](order.Options{Since: c.Taken}),
+		gate:       queue.New[string](queue.Options{Slots: c.Upstream.Slots}),
+		hot:        newLoad(),
+		flights:    make(map[shard.ID]*flight),
+		moves:      make(map[shard.ID]string),
+		splits:     make(map[shard.KeyHash]bool),
+		renewNow:   make(chan struct{}, 1),
+		confirmNow: make(chan struct{}, 1),
+		moveNow:    make(chan struct{}, 1),
+		stop:       f,
+		life:       x,
+	}
+	for _, d := range []func(){h.renewLoop, h.confirmLoop, h.moveLoop} {
+		h.done.Go(d)
+	}
+	c.Events.Record("home-started", string(c.Key), event.Uint("term", uint64(c.Lease.Term)))
+	return h
+}
+
+// signal wakes the goroutine that waits for ch.
+func signal(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+// wait sleeps for d or until a signal on ch. It returns false when the home
+// is closed.
+func (h *Home) wait(ch chan struct{}, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-h.life.Done():
+		return false
+	case <-ch:
+	case <-t.C:
+	}
+	return h.life.Err() == nil
+}
+
+func (h *Home) renewLoop() {
+	p := h.c.Lease.TTL / renewals
+	for h.wait(h.renewNow, p) {
+		h.renew()
+	}
+}
+
+// renew exchanges one grant message with the upstream.
+func (h *Home) renew() {
+	h.mu.Lock()
+	sent := h.c.Now()
+	m, ok := h.lease.Grant(sent)
+	h.mu.Unlock()
+	if !ok {
+		return
+	}
+	c, f := context.WithTimeout(h.life, h.c.Lease.TTL/grantTimeout)
+	defer f()
+	a, err := h.c.Carrier.Grant(c, m)
+	if err != nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.c.Now()
+	if err := h.lease.Answer(sent, now, a); errors.Is(err, lease.ErrSuperseded) {
+		h.c.Events.Record("home-superseded", string(h.c.Key), event.Uint("term", a.GetTerm()))
+		return
+	}
+	h.watchDrain(now)
+	if h.lease.NeedsConfirm() || !h.synced {
+		signal(h.confirmNow)
+	}
+	if m.GetBootId() == "" {
+		signal(h.renewNow)
+	}
+	signal(h.moveNow)
+}
+
+// watchDrain records when the upstream began to drain. The caller holds mu.
+func (h *Home) watchDrain(now clock.Time) {
+	switch {
+	case !h.lease.Draining():
+		h.leaving = 0
+	case h.leaving == 0:
+		h.leaving = now
+		h.c.Events.Record("upstream-draining", string(h.c.Key))
+	}
+}
+
+// confirmPause separates two reads of the home row that were asked for, so that
+// a failing store is not flooded.
+const confirmPause = 50 * time.Millisecond
+
+func (h *Home) confirmLoop() {
+	for h.wait(h.confirmNow, time.Hour) {
+		if h.needsConfirm() && !h.confirm() && h.wait(nil, confirmPause) {
+			signal(h.confirmNow)
+		}
+	}
+}
+
+func (h *Home) needsConfirm() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.lease.Superseded() && (h.lease.NeedsConfirm() || !h.synced)
+}
+
+// confirm reads the home row and the shards in one read and reports whether
+// the read succeeded.
+func (h *Home) confirm() bool {
+	k := []table.Key{h.c.Key}
+	n := shard.Blocks(h.c.Service.ShardCount)
+	for i := range n {
+		k = append(k, route.BlockKey(h.c.Lease.Organisation, h.c.Service.Name, i))
+	}
+	sent := h.c.Now()
+	rows, err := h.c.Store.Read(h.life, k...)
+	if err != nil {
+		return false
+	}
+	h.c.Directory.Apply(rows...)
+	h.Confirmed(sent, rows[0])
+	h.mu.Lock()
+	h.synced = true
+	h.mu.Unlock()
+	h.Sync()
+	signal(h.renewNow)
+	return true
+}
+
+// Confirmed takes the home row as read by a read that was sent at the given
+// time.
+func (h *Home) Confirmed(sent clock.Time, r table.Row) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case r.Version == h.c.Version:
+		h.lease.Confirm(sent)
+	case r.Version > h.c.Version:
+		h.lease.Supersede()
+	}
+}
+
+// Sync takes over the owners in the directory.
+func (h *Home) Sync() {
+	m := h.c.Directory.Map(h.c.Lease.Organisation, h.c.Service.Name)
+	if m == nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.synced {
+		return
+	}
+	m.All(func(i shard.ID, e shard.Entry) bool {
+		if e.Upstream == h.c.Upstream.Name {
+			h.lease.Add(i, e.Epoch)
+		}
+		return true
+	})
+	signal(h.renewNow)
+}
+
+// Superseded reports whether another instance has taken the home over.
+func (h *Home) Superseded() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.lease.Superseded()
+}
+
+// Unavailable reports whether the upstream is silent or draining and should
+// get no shards.
+func (h *Home) Unavailable() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.leaving != 0 || h.silent(h.c.Now()) > h.c.Lease.TTL
+}
+
+// silent returns for how long the upstream has not answered in this term.
+func (h *Home) silent(now clock.Time) time.Duration {
+	t, ok := h.lease.LastResponse()
+	if !ok {
+		t = h.c.Lease.CommittedAt
+	}
+	return now.Sub(t)
+}
+
+// State returns a report for status pages, and the numbers of requests that
+// execute and that wait.
+func (h *Home) State() (s lease.State, running, queued int) {
+	h.mu.Lock()
+	s = h.lease.State(h.c.Now())
+	h.mu.Unlock()
+	q := h.gate.Stats()
+	return s, q.Running, q.Queued
+}
+
+// Key returns the key of the home row.
+func (h *Home) Key() table.Key { return h.c.Key }
+
+// Version returns the version of the home row that the term committed.
+func (h *Home) Version() table.Version { return h.c.Version }
+
+// Close ends the term without waiting for requests. It waits for the goroutines
+// of the home.
+func (h *Home) Close() error {
+	h.mu.Lock()
+	h.lease.Retire(h.c.Now())
+	h.mu.Unlock()
+	h.stop()
+	h.done.Wait()
+	return h.c.Carrier.Close()
+}
+
+// Retire stops dispatching and waits until the upstream executes nothing more
+// on behalf of this term and no write is pending. Afterwards a successor need
+// not wait. It returns the error of c.
+func (h *Home) Retire(c context.Context) error {
+	for {
+		h.mu.Lock()
+		now := h.c.Now()
+		ok, _ := h.lease.Retire(now)
+		for _, f := range h.flights {
+			ok = ok && f.count == 0 && f.until <= now
+		}
+		ok = ok && h.pending == nil
+		h.mu.Unlock()
+		if ok {
+			return nil
+		}
+		select {
+		case <-c.Done():
+			return c.Err()
+		case <-time.After(retirePoll):
+		}
+	}
+}
+
+// retirePoll is how often Retire looks for requests that have ended.
+const retirePoll = 2 * time.Millisecond
+
+// Load returns the load of the upstream since the home started, for the
+// planner.
+func (h *Home) Load() *schema.UpstreamLoad { return h.hot.report(h.c.Upstream.Name) }
--- /dev/null
+++ b/lease/owned.go
@@ -0,0 +1,16 @@
+package lease
+
+import "dandelionrock.example/dandelionrock/shard"
+
+// Owned reports whether the table names the upstream as owner of the shard, as
+// far as Add and Remove have told.
+func (h *Home) Owned(s shard.ID) bool {
+	e := h.shards[s]
+	return e != nil && e.owned
+}
+
+// Releasing reports whether the shard is owned and being released.
+func (h *Home) Releasing(s shard.ID) bool {
+	e := h.shards[s]
+	return e != nil && e.owned && e.releasing
+}
