Add the operator interface over HTTP

Change: internal/admin holds the JSON messages, a handler over the interfaces Submitter, Reporter and Timeline, and a client. Reading and submitting a configuration needs a credential of an operator of that organisation; status and timeline need none. The client reports "not made" only where the instance states it, the connection was refused, or a status code precedes any change; everything else is "may have been made".

--- /dev/null
+++ b/internal/admin/client.go
@@ -0,0 +1,179 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+
+	"dandelionrock.example/dandelionrock/config"
+	"dandelionrock.example/dandelionrock/event"
+	"github.com/cockroachdb/errors"
+)
+
+// maxReply bounds an answer other than a timeline, in bytes. A status lists
+// thousands of homes; a text may grow sixfold by JSON escapes.
+const maxReply = 16 << 20
+
+// maxError bounds the part of an unexpected answer that an error shows.
+const maxError = 200
+
+// refusals are the status codes that precede any change, whoever sends them.
+// Others, such as 408 of a load balancer, may follow a change.
+var refusals = []int{
+	http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound,
+	http.StatusMethodNotAllowed, http.StatusRequestEntityTooLarge,
+}
+
+// Client calls the operator interface of one instance.
+type Client struct {
+	// URL of the instance, without a path.
+	URL string
+	// Credential is sent with requests that read or submit a configuration.
+	Credential string
+	// HTTP makes the calls; http.DefaultClient if nil.
+	HTTP *http.Client
+}
+
+// Submit sends a text that was derived from a version and returns the new
+// version. Errors are a *ConflictError, a *config.Error, or match ErrNotRun or
+// ErrUnknown.
+func (c *Client) Submit(x context.Context, organisation string, text []byte, basedOn uint64) (uint64, error) {
+	r, err := c.request(x, http.MethodPut, configPath(organisation), text)
+	if err != nil {
+		return 0, errors.Mark(err, ErrNotRun)
+	}
+	r.Header.Set(BasedOnHeader, strconv.FormatUint(basedOn, 10))
+	r.Header.Set("Content-Type", "application/toml")
+	code, b, err := c.do(r)
+	if err != nil {
+		var o *net.OpError
+		if errors.As(err, &o) && o.Op == "dial" {
+			return 0, errors.Mark(err, ErrNotRun)
+		}
+		return 0, errors.Mark(err, ErrUnknown)
+	}
+	if code != http.StatusOK {
+		return 0, submitError(code, b)
+	}
+	var v Config
+	if err := json.Unmarshal(b, &v); err != nil || v.Version == 0 {
+		return 0, errors.Mark(errors.Newf("answer without a version: %.*q", maxError, b), ErrUnknown)
+	}
+	return v.Version, nil
+}
+
+// submitError reads the answer to a submit that failed. Only an outcome that
+// is stated, or a refusal that precedes the change, counts as not run.
+func submitError(code int, b []byte) error {
+	var f Faults
+	var v Config
+	switch {
+	case code == http.StatusBadRequest && json.Unmarshal(b, &f) == nil && len(f.Faults) > 0:
+		return &config.Error{Faults: f.Faults}
+	case code == http.StatusConflict && json.Unmarshal(b, &v) == nil && v.Version > 0:
+		return &ConflictError{v}
+	}
+	e := failure(code, b)
+	var o Failure
+	if json.Unmarshal(b, &o) == nil && o.Outcome == OutcomeNotRun || slices.Contains(refusals, code) {
+		return errors.Mark(e, ErrNotRun)
+	}
+	return errors.Mark(e, ErrUnknown)
+}
+
+// Config returns the version in force of an organisation's configuration.
+func (c *Client) Config(x context.Context, organisation string) (Config, error) {
+	return get[Config](x, c, configPath(organisation))
+}
+
+// Status returns the status of the instance.
+func (c *Client) Status(x context.Context) (Status, error) {
+	return get[Status](x, c, "/operate/status")
+}
+
+// Timeline returns the events of the instance, and the number of older ones
+// that it no longer holds.
+func (c *Client) Timeline(x context.Context) ([]event.Event, uint64, error) {
+	r, err := c.request(x, http.MethodGet, "/operate/timeline", nil)
+	if err != nil {
+		return nil, 0, err
+	}
+	a, err := c.http().Do(r)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer a.Body.Close()
+	if a.StatusCode != http.StatusOK {
+		b, _ := io.ReadAll(io.LimitReader(a.Body, maxError))
+		return nil, 0, failure(a.StatusCode, b)
+	}
+	// An instance that doesn't send the header has overwritten none.
+	n, _ := strconv.ParseUint(a.Header.Get(OverwrittenHeader), 10, 64)
+	e, err := event.ReadJSON(a.Body)
+	return e, n, err
+}
+
+func (c *Client) http() *http.Client {
+	if c.HTTP == nil {
+		return http.DefaultClient
+	}
+	return c.HTTP
+}
+
+func configPath(organisation string) string {
+	return "/operate/config/" + url.PathEscape(organisation)
+}
+
+func get[T any](x context.Context, c *Client, path string) (T, error) {
+	var v T
+	r, err := c.request(x, http.MethodGet, path, nil)
+	if err != nil {
+		return v, err
+	}
+	code, b, err := c.do(r)
+	if err != nil {
+		return v, err
+	}
+	if code != http.StatusOK {
+		return v, failure(code, b)
+	}
+	return v, errors.Wrapf(json.Unmarshal(b, &v), "answer of %s", path)
+}
+
+func (c *Client) request(x context.Context, method, path string, body []byte) (*http.Request, error) {
+	r, err := http.NewRequestWithContext(x, method, strings.TrimSuffix(c.URL, "/")+path, bytes.NewReader(body))
+	if err == nil && c.Credential != "" {
+		r.Header.Set("Authorization", "Bearer "+c.Credential)
+	}
+	return r, err
+}
+
+// do returns the status code and the whole body of an answer.
+func (c *Client) do(r *http.Request) (int, []byte, error) {
+	a, err := c.http().Do(r)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer a.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(a.Body, maxReply+1))
+	if err == nil && len(b) > maxReply {
+		err = errors.Newf("answer has more than %d bytes", maxReply)
+	}
+	return a.StatusCode, b, err
+}
+
+// failure describes an answer other than 200.
+func failure(code int, b []byte) error {
+	var f Failure
+	if json.Unmarshal(b, &f) == nil && f.Error != "" {
+		return errors.Newf("status %d: %s", code, f.Error)
+	}
+	return errors.Newf("status %d: %q", code, b[:min(len(b), maxError)])
+}
--- /dev/null
+++ b/internal/admin/handler.go
@@ -0,0 +1,185 @@
+package admin
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"dandelionrock.example/dandelionrock/config"
+	"dandelionrock.example/dandelionrock/event"
+	"github.com/cockroachdb/errors"
+)
+
+// Submitter stores configurations.
+type Submitter interface {
+	// Submit stores a checked text as the version after basedOn and returns the
+	// new version. It returns a *ConflictError where another version is in
+	// force, a *config.Error where the change is refused, and an error that
+	// matches ErrNotRun where the text is known not to be stored. Any other
+	// error is reported to the operator as an unknown outcome.
+	Submit(c context.Context, o *config.Organisation, text []byte, basedOn uint64) (uint64, error)
+	// Config returns the version in force, version 0 if there is none.
+	Config(c context.Context, organisation string) (Config, error)
+}
+
+// Reporter describes the instance.
+type Reporter interface {
+	Status() Status
+}
+
+// Timeline holds the events of the instance; *event.Log is one.
+type Timeline interface {
+	// Events returns the events, oldest first, and the number of older ones
+	// that were overwritten.
+	Events() ([]event.Event, uint64)
+}
+
+// Handler serves the paths below /operate/. All fields are required.
+type Handler struct {
+	// Operators lists the credentials that may read and submit configurations.
+	// Status and timeline need no credential.
+	Operators []*config.Operator
+	Submitter Submitter
+	Reporter  Reporter
+	Timeline  Timeline
+}
+
+// New returns the HTTP handler of h.
+func New(h Handler) http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("PUT /operate/config/{organisation}", h.authorised(h.submit))
+	m.HandleFunc("GET /operate/config/{organisation}", h.authorised(h.config))
+	m.HandleFunc("GET /operate/status", h.status)
+	m.HandleFunc("GET /operate/timeline", h.timeline)
+	return m
+}
+
+// authorised passes on the requests of operators of the organisation in the path.
+func (h Handler) authorised(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		switch h.operator(r.Header.Get("Authorization"), r.PathValue("organisation")) {
+		case http.StatusUnauthorized:
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			fail(w, http.StatusUnauthorized, OutcomeNotRun, "credential is missing or unknown")
+		case http.StatusForbidden:
+			fail(w, http.StatusForbidden, OutcomeNotRun, "credential is of an operator of another organisation")
+		default:
+			next(w, r)
+		}
+	}
+}
+
+// operator compares with every credential, so that the time taken does not
+// tell which of them is similar.
+func (h Handler) operator(authorization, organisation string) int {
+	c, ok := strings.CutPrefix(authorization, "Bearer ")
+	s := sha256.Sum256([]byte(c))
+	code := http.StatusUnauthorized
+	for _, o := range h.Operators {
+		if subtle.ConstantTimeCompare(s[:], o.CredentialSHA256[:]) != 1 || !ok {
+			continue
+		}
+		if o.Organisation == organisation {
+			code = http.StatusOK
+		} else if code != http.StatusOK {
+			code = http.StatusForbidden
+		}
+	}
+	return code
+}
+
+func (h Handler) submit(w http.ResponseWriter, r *http.Request) {
+	v, err := strconv.ParseUint(r.Header.Get(BasedOnHeader), 10, 64)
+	if err != nil {
+		fail(w, http.StatusBadRequest, OutcomeNotRun, "header "+BasedOnHeader+" is not a version")
+		return
+	}
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(config.MaxText)))
+	if err != nil {
+		code := http.StatusBadRequest
+		if e := (*http.MaxBytesError)(nil); errors.As(err, &e) {
+			code = http.StatusRequestEntityTooLarge
+		}
+		fail(w, code, OutcomeNotRun, err.Error())
+		return
+	}
+	n := r.PathValue("organisation")
+	o, err := config.Parse(n+".toml", b)
+	if err == nil && o.Name != n {
+		f := config.Fault{File: o.File, Line: 1, Cause: "organisation is " + strconv.Quote(o.Name) + ", want " + strconv.Quote(n)}
+		err = &config.Error{Faults: []config.Fault{f}}
+	}
+	if err == nil {
+		v, err = h.Submitter.Submit(r.Context(), o, b, v)
+	}
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	reply(w, http.StatusOK, Config{Version: v})
+}
+
+// refuse answers a submit that failed.
+func refuse(w http.ResponseWriter, err error) {
+	var f *config.Error
+	var c *ConflictError
+	switch {
+	case errors.As(err, &f):
+		reply(w, http.StatusBadRequest, Faults{f.Faults})
+	case errors.As(err, &c):
+		reply(w, http.StatusConflict, c.InForce)
+	case errors.Is(err, ErrNotRun):
+		fail(w, http.StatusServiceUnavailable, OutcomeNotRun, err.Error())
+	default:
+		fail(w, http.StatusServiceUnavailable, OutcomeUnknown, err.Error())
+	}
+}
+
+func (h Handler) config(w http.ResponseWriter, r *http.Request) {
+	v, err := h.Submitter.Config(r.Context(), r.PathValue("organisation"))
+	if err != nil {
+		fail(w, http.StatusServiceUnavailable, OutcomeNotRun, err.Error())
+		return
+	}
+	reply(w, http.StatusOK, v)
+}
+
+func (h Handler) status(w http.ResponseWriter, _ *http.Request) {
+	s := h.Reporter.Status()
+	if s.Peers == nil {
+		s.Peers = []Peer{}
+	}
+	if s.Homes == nil {
+		s.Homes = []Home{}
+	}
+	reply(w, http.StatusOK, s)
+}
+
+func (h Handler) timeline(w http.ResponseWriter, _ *http.Request) {
+	e, n := h.Timeline.Events()
+	w.Header().Set("Content-Type", "application/jsonl")
+	w.Header().Set(OverwrittenHeader, strconv.FormatUint(n, 10))
+	// The client sees a body that breaks off; nothing more can be told to it.
+	_ = event.WriteJSON(w, e)
+}
+
+func fail(w http.ResponseWriter, code int, o Outcome, cause string) {
+	reply(w, code, Failure{Error: cause, Outcome: o})
+}
+
+func reply(w http.ResponseWriter, code int, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	// A caller that is gone gets no answer.
+	_, _ = w.Write(append(b, '\n'))
+}
