Add the commands of the dandelionrock program

Cause: operators need to check and submit configurations and to see what instances do, with exit codes that scripts can rely on.

Conclusion: serve remains to be implemented with the node.

--- /dev/null
+++ b/internal/comand/comand.go
@@ -0,0 +1,131 @@
+// Package comand implements the commands of the dandelionrock program.
+package comand
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"dandelionrock.example/dandelionrock/config"
+	"dandelionrock.example/dandelionrock/internal/admin"
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes of the program.
+const (
+	ExitDone     = 0
+	ExitError    = 1
+	ExitUsage    = 2
+	ExitConflict = 3
+)
+
+// errUsage marks an error in the arguments.
+var errUsage = errors.New("usage")
+
+const longHelp = `Routes requests to upstreams that own keys exclusively.
+
+Units: durations are a number with us, ms, s, m or h, such as 100ms; sizes are a whole number with B, KiB, MiB or GiB, such as 1MiB; rates are in requests per second; versions count from 1.
+
+Exit codes: 0 done, 1 error, 2 usage, 3 conflict with a newer version.`
+
+// Program holds what the commands use of the process.
+type Program struct {
+	Out, Err io.Writer
+	// Getenv reads the environment.
+	Getenv func(string) string
+	// Serve runs an instance until c is cancelled.
+	Serve func(c context.Context, s *config.Settings) error
+	// Version names the build.
+	Version string
+}
+
+// run is one run of a command.
+type run struct {
+	Program
+	context context.Context
+}
+
+// Run parses the arguments, without the program's name, executes the command
+// and returns the exit code.
+func (p Program) Run(c context.Context, args []string) int {
+	r := &run{Program: p, context: c}
+	f := flags.NewNamedParser("dandelionrock", flags.HelpFlag|flags.PassDoubleDash)
+	f.LongDescription = longHelp
+	f.CommandHandler = func(c flags.Commander, args []string) error {
+		if len(args) > 0 {
+			return errors.Mark(errors.Newf("unexpected argument %q", args[0]), errUsage)
+		}
+		return c.Execute(args)
+	}
+	for _, c := range r.commands() {
+		if _, err := f.AddCommand(c.name, c.short, c.long, c.data); err != nil {
+			panic("comand: " + err.Error())
+		}
+	}
+	_, err := f.ParseArgs(args)
+	return r.exit(err)
+}
+
+type command struct {
+	name, short, long string
+	data              flags.Commander
+}
+
+func (r *run) commands() []command {
+	return []command{
+		{"serve", "Run an instance", "Runs an instance until SIGTERM or SIGINT, then finishes its requests and hands its homes over. A second signal ends it at once.", &serve{r: r}},
+		{"check", "Check a configuration without an instance", "Checks the configuration text of an organisation, or the settings of an instance, and prints every fault as file:line: cause.", &check{r: r}},
+		{"submit", "Submit the configuration of an organisation", submitHelp, &submit{r: r}},
+		{"status", "Show an instance, its peers and homes", "Shows the status of an instance, and what it knows about the others.", &status{r: r}},
+		{"timeline", "Show the events of instances in causal order", "Merges the events of the given instances by their hybrid logical clocks. Events of instances that can be reached are shown even if others fail.", &timeline{r: r}},
+		{"version", "Show the version of the program", "Shows the version of the program.", &version{r: r}},
+	}
+}
+
+// exit reports an error and returns the exit code for it.
+func (r *run) exit(err error) int {
+	var f *flags.Error
+	var i *config.Error
+	var c *admin.ConflictError
+	switch {
+	case err == nil:
+		return ExitDone
+	case errors.As(err, &f) && f.Type == flags.ErrHelp:
+		fmt.Fprintln(r.Out, f.Message)
+		return ExitDone
+	case errors.As(err, &f):
+		fmt.Fprintln(r.Err, "dandelionrock:", f.Message)
+		return ExitUsage
+	case errors.As(err, &i):
+		fmt.Fprintln(r.Err, i)
+		return ExitError
+	}
+	fmt.Fprintln(r.Err, "dandelionrock:", err)
+	if errors.As(err, &c) {
+		return ExitConflict
+	}
+	if errors.Is(err, errUsage) {
+		return ExitUsage
+	}
+	return ExitError
+}
+
+// limit is the option that all commands share which call an instance.
+type limit struct {
+	Timeout time.Duration `long:"timeout" value-name:"DURATION" default:"5s" description:"Limit of one call to an instance"`
+}
+
+// client returns a client for an instance. Instances are reached by their
+// address, never through a proxy.
+func (l limit) client(instance, credential string) (*admin.Client, error) {
+	u, err := url.Parse(instance)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return nil, errors.Mark(errors.Newf("instance %q is not an http or https URL", instance), errUsage)
+	}
+	h := &http.Client{Timeout: l.Timeout, Transport: &http.Transport{}}
+	return &admin.Client{URL: instance, Credential: credential, HTTP: h}, nil
+}
--- /dev/null
+++ b/internal/comand/submit.go
@@ -0,0 +1,130 @@
+package comand
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"dandelionrock.example/dandelionrock/config"
+	"dandelionrock.example/dandelionrock/internal/admin"
+	"github.com/cockroachdb/errors"
+)
+
+const submitHelp = `Checks the text in FILE and submits it as the version after the one that it is based on. Where a newer version is in force, the difference from that version to FILE is printed and the exit code is 3.
+
+After an unknown outcome, submit the same text again with the same --based-on: if the first attempt was stored, its version is reported.`
+
+// credentialVariable holds the operator credential if no file is given.
+const credentialVariable = "DANDELIONROCK_CREDENTIAL"
+
+type submit struct {
+	r              *run
+	Instance       string  `long:"instance" value-name:"URL" required:"yes" description:"HTTP address of any instance, such as http://10.0.0.1:8080"`
+	CredentialFile string  `long:"credential-file" value-name:"FILE" description:"Operator credential; without it, the environment variable DANDELIONROCK_CREDENTIAL is used"`
+	BasedOn        *uint64 `long:"based-on" value-name:"VERSION" description:"Version that the text was derived from; 0 for the first one"`
+	ForceLatest    bool    `long:"force-latest" description:"Replace whatever version is in force"`
+	Wait           bool    `long:"wait" description:"Wait until every live instance has put the version into force"`
+	limit
+	WaitLimit time.Duration `long:"wait-limit" value-name:"DURATION" default:"30s" description:"Limit of --wait"`
+	Args      struct {
+		File string `positional-arg-name:"FILE" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (s *submit) Execute([]string) error {
+	b, err := os.ReadFile(s.Args.File)
+	if err != nil {
+		return err
+	}
+	o, err := config.Parse(s.Args.File, b)
+	if err != nil {
+		return err
+	}
+	k, err := s.credential()
+	if err != nil {
+		return err
+	}
+	c, err := s.client(s.Instance, k)
+	if err != nil {
+		return err
+	}
+	n, err := s.basedOn(c, o.Name)
+	if err != nil {
+		return err
+	}
+	v, err := c.Submit(s.r.context, o.Name, b, n)
+	if err != nil {
+		if v, err = s.explain(err, o.Name, b, n); err != nil {
+			return err
+		}
+		fmt.Fprintf(s.r.Out, "version %d of %s already holds this text\n", v, o.Name)
+	} else {
+		fmt.Fprintf(s.r.Out, "version %d of %s is accepted\n", v, o.Name)
+	}
+	if s.Wait {
+		return s.wait(c, o.Name, v)
+	}
+	return nil
+}
+
+func (s *submit) credential() (string, error) {
+	k, from := s.r.Getenv(credentialVariable), credentialVariable
+	if s.CredentialFile != "" {
+		b, err := os.ReadFile(s.CredentialFile)
+		if err != nil {
+			return "", err
+		}
+		k, from = string(b), s.CredentialFile
+	}
+	if k = strings.TrimSpace(k); k == "" {
+		return "", errors.Mark(errors.Newf("no credential in %s; give --credential-file or set %s", from, credentialVariable), errUsage)
+	}
+	return k, nil
+}
+
+// basedOn returns the version that the text replaces. A version that the
+// operator hasn't seen is only replaced on request.
+func (s *submit) basedOn(c *admin.Client, organisation string) (uint64, error) {
+	if s.BasedOn != nil {
+		if s.ForceLatest {
+			return 0, errors.Mark(errors.New("--based-on and --force-latest exclude each other"), errUsage)
+		}
+		return *s.BasedOn, nil
+	}
+	v, err := c.Config(s.r.context, organisation)
+	if err != nil {
+		return 0, errors.Wrap(err, "fetch the version in force")
+	}
+	if v.Version > 0 && !s.ForceLatest {
+		return 0, errors.Mark(errors.Newf("version %d of %s is in force; state --based-on %d after comparing, or --force-latest",
+			v.Version, organisation, v.Version), errUsage)
+	}
+	return v.Version, nil
+}
+
+// explain adds what the operator needs to know to an error of a submit. It
+// returns the version in force without an error if that holds the same text,
+// as after an earlier attempt whose answer was lost.
+func (s *submit) explain(err error, organisation string, text []byte, basedOn uint64) (uint64, error) {
+	var f *config.Error
+	var c *admin.ConflictError
+	switch {
+	case errors.As(err, &f):
+		for i := range f.Faults {
+			f.Faults[i].File = s.Args.File
+		}
+		return 0, f
+	case errors.As(err, &c):
+		if c.InForce.Text == string(text) {
+			return c.InForce.Version, nil
+		}
+		fmt.Fprintf(s.r.Out, "--- %s version %d, in force\n+++ %s\n%s",
+			organisation, c.InForce.Version, s.Args.File, config.Diff([]byte(c.InForce.Text), text))
+		return 0, errors.Wrapf(err, "%s is not submitted", s.Args.File)
+	case errors.Is(err, admin.ErrNotRun):
+		return 0, errors.Wrapf(err, "%s is not submitted", s.Args.File)
+	}
+	return 0, errors.Wrapf(err, "outcome unknown, submit %s again with --based-on %d", s.Args.File, basedOn)
+}
