--- /dev/null
+++ b/heavy/heavy_test.go
@@ -0,0 +1,64 @@
+package heavy_test
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+
+	"dandelionrock.example/dandelionrock/heavy"
+)
+
+// Guards against a hot key that is missed and against a weight outside of its
+// stated bounds, also after decay.
+func TestSketchBounds(t *testing.T) {
+	for seed := range int64(20) {
+		r := rand.New(rand.NewSource(seed))
+		z := rand.NewZipf(r, 1.1, 1, 10000)
+		s, truth, total := heavy.New[uint64](64), map[uint64]float64{}, 0.0
+		for i := range 20000 {
+			k := z.Uint64()
+			s.Add(k, 1)
+			truth[k]++
+			total++
+			if i == 10000 {
+				s.Decay(0.5)
+				total /= 2
+				for k := range truth {
+					truth[k] /= 2
+				}
+			}
+		}
+		held := map[uint64]bool{}
+		for _, i := range s.Top(64) {
+			held[i.Key] = true
+			if w := truth[i.Key]; w > i.Weight+1e-6 || w < i.Weight-i.Excess-1e-6 {
+				t.Errorf("seed %d: key %d has weight %f, estimate %f, excess %f", seed, i.Key, w, i.Weight, i.Excess)
+			}
+		}
+		for k, w := range truth {
+			if w > total/64 && !held[k] {
+				t.Errorf("seed %d: key %d with weight %f of %f is missing", seed, k, w, total)
+			}
+		}
+	}
+}
+
+func BenchmarkAdd(b *testing.B) {
+	s, z := heavy.New[uint64](256), rand.NewZipf(rand.New(rand.NewSource(1)), 1.1, 1, 1e6)
+	for b.Loop() {
+		s.Add(z.Uint64(), 1)
+	}
+}
+
+func Example() {
+	s := heavy.New[string](2)
+	for _, k := range []string{"a", "b", "a", "c", "a", "b", "a"} {
+		s.Add(k, 1)
+	}
+	for _, i := range s.Top(2) {
+		fmt.Println(i.Key, i.Weight, i.Excess)
+	}
+	// Output:
+	// a 4 0
+	// b 3 2
+}
