--- /dev/null
+++ b/shard/plan_test.go
@@ -0,0 +1,150 @@
+package shard
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func counts(s State) (r map[string]int) {
+	r = map[string]int{}
+	s.Map.All(func(_ ID, e Entry) bool {
+		r[e.Upstream]++
+		return true
+	})
+	return r
+}
+
+// Guards against a first assignment that is uneven or not in proportion to the
+// weights, and against shards given to closed upstreams.
+func TestAssign(t *testing.T) {
+	u := upstreams(5)
+	u[1].Closed, u[2].Weight = true, 2
+	for count := uint32(1); count <= 300; count++ {
+		c := counts(newState(t, count, u))
+		for _, v := range u {
+			want := float64(count) * v.weight() / 5
+			if d := float64(c[v.Name]) - want; v.Closed && c[v.Name] != 0 || !v.Closed && (d >= 1 || d <= -1) {
+				t.Errorf("%d shards: %s has %d, want about %f", count, v.Name, c[v.Name], want)
+			}
+		}
+	}
+	if _, err := Assign(1, u[1:2]); err == nil {
+		t.Error("Assign to closed upstreams: no error")
+	}
+}
+
+// Guards against churn beyond the unavoidable number when one of 16 upstreams
+// leaves, and when one joins, and against load that is uneven thereafter.
+func TestLeaveAndJoinTargets(t *testing.T) {
+	for _, measured := range []bool{false, true} {
+		for seed := range int64(3) {
+			s, f := newState(t, 256, upstreams(16)), newTraffic(100000, 0, 0, seed)
+			report := func() {
+				if measured {
+					f.report(&s)
+				}
+			}
+			report()
+			first, owned := s.Map, counts(s)["u03"]
+			s.Upstreams[3].Closed = true
+			m, err := s.Evacuate("u03")
+			if err != nil || len(m) != owned {
+				t.Fatalf("Evacuate = %d moves, %v, want %d", len(m), err, owned)
+			}
+			s.apply(t, nil, m, nil)
+			report()
+			leave, left := f.moved(first, s.Map)*16, f.loads(s)[0]*15/16
+			s.Upstreams[3].Closed = false
+			second := s.Map
+			if i := s.Idle(); len(i) != 1 || i[0] != "u03" {
+				t.Fatalf("Idle = %v, want u03", i)
+			}
+			j := s.Join("u03")
+			s.apply(t, nil, j, nil)
+			report()
+			join, load := f.moved(second, s.Map)*16, f.loads(s)
+			t.Logf("measured=%t seed %d: leave moves %d shards, churn ratio %.3f, imbalance %.3f; join moves %d, churn ratio %.3f, imbalance %.3f",
+				measured, seed, len(m), leave, left, len(j), join, load[0])
+			if leave > 1.1 || join > 1.1 || left > 1.10 || load[0] > 1.10 {
+				t.Error("a target is missed")
+			}
+		}
+	}
+}
+
+// Guards against an evacuation that fills the failure domain of the lost
+// upstream, and several at a time that choose the same destinations.
+func TestEvacuationSpreads(t *testing.T) {
+	u := upstreams(16)
+	s := newState(t, 256, u)
+	got := map[string]int{}
+	for i := range u {
+		u[i].Closed = u[i].FailureDomain == "d1"
+	}
+	for _, v := range u {
+		m, err := s.Evacuate(v.Name)
+		if !v.Closed {
+			continue
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, n := range m {
+			got[n.To]++
+		}
+	}
+	low, high := 1000, 0
+	for _, v := range u {
+		if !v.Closed {
+			low, high = min(low, got[v.Name]), max(high, got[v.Name])
+		}
+	}
+	if got["u01"]+got["u07"]+got["u13"] != 0 || high > low+1 {
+		t.Errorf("shards received: %v", got)
+	}
+}
+
+// Guards against a plan made from a short peak, and against a shard that moves
+// twice in a short time.
+func TestBalancerWaits(t *testing.T) {
+	s, f := newState(t, 64, upstreams(4)), newTraffic(10000, 1.1, 2, 1)
+	f.report(&s)
+	b := Balancer{Policy: Policy{Above: 1.1}, Settle: 3 * time.Second}
+	for now, want := range []bool{false, false, false, true, false, false, false, true} {
+		p := b.Propose(Time(now)*Time(time.Second), s)
+		if got := len(p.Splits) > 0; got != want {
+			t.Errorf("second %d: splits proposed %t, want %t", now, got, want)
+		}
+	}
+	for i := range 100 {
+		p := b.Propose(Time(100+i)*Time(time.Second), s)
+		s.apply(t, p.Splits, p.Moves, p.Merges)
+		for _, m := range p.Moves {
+			if !b.frozen(Time(100+i)*Time(time.Second), nil)[m.Shard] {
+				t.Errorf("shard %d is not frozen after its move", m.Shard)
+			}
+		}
+		f.report(&s)
+	}
+	if l := f.loads(s); l[0] > 1.25 {
+		t.Errorf("imbalance %.3f", l[0])
+	}
+}
+
+func ExampleState_Rebalance() {
+	u := []Upstream{{Name: "a"}, {Name: "b"}}
+	blocks, _ := Initial(4, u)
+	m, _ := NewMap("quotes", 4).With(blocks...)
+	s := State{Map: m, Upstreams: u, Rates: map[ID]float64{0: 100, 1: 30, 2: 40, 3: 30}}
+	p := s.Rebalance(Policy{Above: 1.25})
+	fmt.Printf("%.2f to %.2f: %v\n", p.Before, p.After, p.Moves)
+	// Output: 1.30 to 1.00: [{1 a b}]
+}
+
+func ExampleMap_Find() {
+	blocks, _ := Initial(256, []Upstream{{Name: "a"}, {Name: "b"}})
+	m, _ := NewMap("quotes", 256).With(blocks...)
+	fmt.Println(m.Find("marsh wallaby"))
+	// Output: 196 b 1
+}
