--- a/internal/relay/stateful_test.go
+++ b/internal/relay/stateful_test.go
@@ -9,10 +9,8 @@
 	"testing"
 	"time"
 
+	"dandelionrock.example/dandelionrock/internal/model"
 	"dandelionrock.example/dandelionrock/schema"
-	"github.com/leanovate/gopter"
-	"github.com/leanovate/gopter/commands"
-	"github.com/leanovate/gopter/gen"
 )
 
 // cutConn fails after a number of bytes in one direction.
@@ -139,63 +137,30 @@
 	return nil
 }
 
-// step is a command; the oracle is in the system, so the model is empty.
-type step struct{ op, arg int }
-
-func (s step) Run(u commands.SystemUnderTest) commands.Result {
-	y := u.(*system)
-	switch s.op {
-	case 0, 1, 2:
-		y.start(s.arg % 3000)
-	case 3, 4:
-		y.release(s.arg)
-	case 5:
-		if y.next > 0 {
-			y.cancels[fmt.Sprint(s.arg%y.next+1)]()
-		}
-	case 6:
-		y.reads.Store(int64(s.arg % 300))
-	case 7:
-		y.writes.Store(int64(s.arg % 4000))
-	case 8:
-		time.Sleep(time.Duration(s.arg) * time.Microsecond)
+func (s *system) cancel(n int) {
+	if s.next > 0 {
+		s.cancels[fmt.Sprint(n%s.next+1)]()
 	}
-	return nil
-}
-
-func (s step) NextState(state commands.State) commands.State { return state }
-func (s step) PreCondition(commands.State) bool              { return true }
-func (s step) String() string                                { return fmt.Sprintf("%d(%d)", s.op, s.arg) }
-
-func (s step) PostCondition(commands.State, commands.Result) *gopter.PropResult {
-	return &gopter.PropResult{Status: gopter.PropTrue}
 }
 
 // Guards against replies that reach the wrong call, calls that never end, and
 // errors that deny a run, with replies out of order, callers that go away and
 // connections cut at any byte.
 func TestStateful(t *testing.T) {
-	p := gopter.DefaultTestParametersWithSeed(20261204)
-	p.MinSuccessfulTests, p.MaxSize = 150, 60
-	var fault error
-	c := &commands.ProtoCommands{
-		NewSystemUnderTestFunc: func(commands.State) commands.SystemUnderTest { return newSystem(t) },
-		DestroySystemUnderTestFunc: func(u commands.SystemUnderTest) {
-			if err := u.(*system).finish(); err != nil && fault == nil {
-				fault = err
-			}
-		},
-		InitialStateGen: gen.Const(0),
-		GenCommandFunc: func(commands.State) gopter.Gen {
-			return gopter.CombineGens(gen.IntRange(0, 8), gen.IntRange(0, 5000)).Map(func(v []any) commands.Command {
-				return step{v[0].(int), v[1].(int)}
-			})
-		},
+	list := []func(*system, int){
+		(*system).start, (*system).start, (*system).start, (*system).release, (*system).release, (*system).cancel,
+		func(s *system, n int) { s.reads.Store(int64(n % 300)) },
+		func(s *system, n int) { s.writes.Store(int64(n)) },
+		func(_ *system, n int) { time.Sleep(time.Duration(n) * time.Microsecond) },
+	}
+	p := model.Property[*system]{
+		Seed: 20261204, Runs: 150, Length: 60, MaxArgument: 4000,
+		New: func() *system { return newSystem(t) }, Finish: (*system).finish,
+	}
+	for _, f := range list {
+		p.Operations = append(p.Operations, func(s *system, n int) error { f(s, n); return nil })
 	}
-	q := gopter.NewProperties(p)
-	q.Property("each call gets its own reply or an error", commands.Prop(c))
-	q.TestingRun(t)
-	if fault != nil {
-		t.Error(fault)
+	if err := p.Check(); err != nil {
+		t.Error(err)
 	}
 }
