Add the DynamoDB store and the stand-in platform

Cause: the table service is reached over its published protocol, and nothing here speaks it. Change: table.Dynamo uses TransactWriteItems with the transaction id as ClientRequestToken, TransactGetItems and Query; the SDK's repetitions and redirects are off, so that a lost answer reaches the caller. A write counts as not taken only if no connection was at hand or the service names a code that says so; all else is ambiguous. stand.Platform speaks the same protocol, lists instances and has faults for both.

--- /dev/null
+++ b/internal/stand/platform.go
@@ -0,0 +1,215 @@
+package stand
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
+)
+
+// PlatformConfig configures a Platform.
+type PlatformConfig struct {
+	// Address is an IP address and port; port 0 chooses one.
+	Address string
+	// Table is the name of the only table; "dandelionrock" if empty.
+	Table string
+	// PageItems is the largest number of items in a page of a query; 100 if 0.
+	PageItems int
+	// Delay is the latency in each direction.
+	Delay time.Duration
+	// MaxReads is the number of read calls per second, and MaxWrites that of
+	// written or checked items, beyond which calls are throttled; no limit if 0.
+	MaxReads, MaxWrites float64
+	// File holds the list of instances in TOML or JSON; none if empty.
+	File string
+	Log  zerolog.Logger
+}
+
+// Platform is a stand-in for the table service and the list of instances. Its
+// data lives in memory.
+type Platform struct {
+	config    PlatformConfig
+	items     items
+	instances instances
+	faults    faults[PlatformFaults]
+	stats     stats
+	// reads and writes are nil without a limit.
+	reads, writes *rate.Limiter
+	server        *server
+
+	mu     sync.Mutex
+	closed bool
+	late   sync.WaitGroup
+	stop   chan struct{}
+}
+
+// NewPlatform starts a platform.
+func NewPlatform(c PlatformConfig) (*Platform, error) {
+	if c.Table == "" {
+		c.Table = "dandelionrock"
+	}
+	if c.PageItems <= 0 {
+		c.PageItems = 100
+	}
+	p := &Platform{config: c, stop: make(chan struct{}), reads: limiter(c.MaxReads), writes: limiter(c.MaxWrites)}
+	p.instances.file = c.File
+	p.faults.changed = func(f *PlatformFaults) { c.Log.Info().Interface("faults", f).Msg("faults changed") }
+	if _, err := p.instances.list(0); err != nil {
+		return nil, err
+	}
+	m := http.NewServeMux()
+	m.Handle("POST /{$}", handler(p.table).after(c.Delay))
+	m.Handle("/instances", handler(p.serveInstances).after(c.Delay))
+	m.Handle("/faults", handler(p.faults.serve))
+	m.Handle("GET /stats", handler(func(*http.Request) *reply { return answer(http.StatusOK, p.Stats()) }))
+	var err error
+	p.server, err = listen(c.Address, &listener{}, m)
+	return p, err
+}
+
+func limiter(f float64) *rate.Limiter {
+	if f <= 0 {
+		return nil
+	}
+	return rate.NewLimiter(rate.Limit(f), max(maxItems, int(f)))
+}
+
+// Address returns the IP address and port.
+func (p *Platform) Address() string { return p.server.address() }
+
+// URL returns the URL of the table service.
+func (p *Platform) URL() string { return "http://" + p.Address() }
+
+// SetFaults replaces all faults.
+func (p *Platform) SetFaults(f PlatformFaults) { p.faults.set(f) }
+
+// Stats returns the load so far.
+func (p *Platform) Stats() Stats { return p.stats.report(time.Now()) }
+
+// Close ends calls in flight, drops late writes and waits for both.
+func (p *Platform) Close() error {
+	p.mu.Lock()
+	if !p.closed {
+		p.closed = true
+		close(p.stop)
+	}
+	p.mu.Unlock()
+	err := p.server.close()
+	p.late.Wait()
+	return err
+}
+
+// table serves one call of the DynamoDB protocol.
+func (p *Platform) table(r *http.Request) *reply {
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return dropped
+	}
+	f := p.faults.get()
+	time.Sleep(milliseconds(f.SlowMs))
+	switch {
+	case f.Outage:
+		return dropped
+	case f.Throttle:
+		return throttled()
+	}
+	switch operation(r) {
+	case "TransactWriteItems":
+		return p.write(b)
+	case "TransactGetItems":
+		return p.limited(p.reads, b, p.read)
+	case "Query":
+		return p.limited(p.reads, b, p.query)
+	}
+	return encode(nil, &serviceError{Type: "UnknownOperationException", Message: "the stand-in does not know the operation"})
+}
+
+func throttled() *reply {
+	return encode(nil, &serviceError{Type: "ThrottlingException", Message: "rate of requests exceeded"})
+}
+
+// limited answers a call unless it exceeds the rate.
+func (p *Platform) limited(l *rate.Limiter, b []byte, f func([]byte) (any, error)) *reply {
+	if l != nil && !l.Allow() {
+		return throttled()
+	}
+	return encode(f(b))
+}
+
+func (p *Platform) write(b []byte) *reply {
+	var i writeInput
+	if err := decode(b, &i); err != nil {
+		return encode(nil, err)
+	}
+	l, err := i.writes(p.config.Table)
+	if err != nil {
+		return encode(nil, err)
+	}
+	if p.writes != nil && !p.writes.AllowN(time.Now(), len(l)) {
+		return throttled()
+	}
+	p.stats.count(0, len(l))
+	if p.faults.get().ForgetTokens {
+		i.ClientRequestToken = ""
+	}
+	switch {
+	case p.faults.take(func(f *PlatformFaults) *int { return &f.LoseRequests }):
+		return dropped
+	case p.faults.take(func(f *PlatformFaults) *int { return &f.LateWrites }):
+		p.postpone(i.ClientRequestToken, l)
+		return dropped
+	}
+	err = p.items.commit(i.ClientRequestToken, l)
+	if p.faults.take(func(f *PlatformFaults) *int { return &f.LoseAnswers }) {
+		return dropped
+	}
+	return encode(struct{}{}, err)
+}
+
+// postpone commits the writes after LateMs, unless the platform closes.
+func (p *Platform) postpone(t string, l []write) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return
+	}
+	p.late.Add(1)
+	go func(d time.Duration) {
+		defer p.late.Done()
+		select {
+		case <-p.stop:
+		case <-time.After(d):
+			err := p.items.commit(t, l)
+			p.config.Log.Info().Str("token", t).AnErr("refused", err).Msg("late write landed")
+		}
+	}(milliseconds(p.faults.get().LateMs))
+}
+
+func (p *Platform) serveInstances(r *http.Request) *reply {
+	f := p.faults.get()
+	switch {
+	case f.ListOutage:
+		return dropped
+	case r.Method == http.MethodGet:
+		l, err := p.instances.list(milliseconds(f.LagMs))
+		if err != nil {
+			return fail(http.StatusInternalServerError, err)
+		}
+		return answer(http.StatusOK, l)
+	case r.Method == http.MethodPut:
+		l, err := decodeInstances(r.Body)
+		if err != nil {
+			return fail(http.StatusBadRequest, err)
+		}
+		p.SetInstances(l...)
+		return answer(http.StatusOK, instanceList{l})
+	}
+	return fail(http.StatusMethodNotAllowed, errors.New("use GET or PUT"))
+}
+
+// SetInstances replaces the list of instances.
+func (p *Platform) SetInstances(l ...Instance) { p.instances.set(l) }
--- /dev/null
+++ b/table/dynamo.go
@@ -0,0 +1,267 @@
+package table
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/aws/aws-sdk-go-v2/aws"
+	"github.com/aws/aws-sdk-go-v2/credentials"
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
+	"github.com/cockroachdb/errors"
+)
+
+// Attributes of an item. The partition key is attrSpace, the sort key attrKey.
+const (
+	attrSpace   = "space"
+	attrKey     = "row-key"
+	attrVersion = "version"
+	attrValue   = "value"
+	attrTxns    = "txns"
+)
+
+// DynamoConfig tells where a table is.
+type DynamoConfig struct {
+	// URL of the service, such as "http://127.0.0.1:8000".
+	URL string
+	// Table is the name of the table.
+	Table string
+	// Space is the partition key of all rows; "rows" if empty.
+	Space string
+	// Timeout limits each call; one second if 0.
+	Timeout time.Duration
+}
+
+// Dynamo is a Store over the DynamoDB protocol. Use NewDynamo.
+type Dynamo struct {
+	config    DynamoConfig
+	transport *http.Transport
+	client    *dynamodb.Client
+}
+
+// NewDynamo returns a client of the table. It opens no connection.
+func NewDynamo(c DynamoConfig) (*Dynamo, error) {
+	u, err := url.Parse(c.URL)
+	if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+		return nil, errors.Newf("table service URL %q has no http or https scheme, or no host", c.URL)
+	}
+	if c.Space == "" {
+		c.Space = "rows"
+	}
+	if c.Timeout <= 0 {
+		c.Timeout = time.Second
+	}
+	t := &http.Transport{
+		DialContext: (&net.Dialer{Timeout: c.Timeout}).DialContext,
+		// An instance has few calls at a time; more idle connections would only
+		// take memory.
+		MaxIdleConns: 4, MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second,
+		DisableCompression: true,
+	}
+	d := &Dynamo{config: c, transport: t}
+	d.client = dynamodb.New(dynamodb.Options{
+		BaseEndpoint: aws.String(c.URL),
+		Region:       "local",
+		Credentials:  credentials.NewStaticCredentialsProvider("dandelionrock", "dandelionrock", ""),
+		HTTPClient: &http.Client{
+			Transport: t,
+			// A redirect would send a write a second time.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+		// Settle repeats writes; a repetition inside the SDK would hide a lost
+		// answer from it.
+		Retryer: aws.NopRetryer{},
+	})
+	return d, nil
+}
+
+// Close closes idle connections.
+func (d *Dynamo) Close() { d.transport.CloseIdleConnections() }
+
+// Read implements Store with one TransactGetItems call.
+func (d *Dynamo) Read(c context.Context, keys ...Key) ([]Row, error) {
+	if len(keys) > MaxItems {
+		return nil, errors.Wrapf(ErrInvalid, "read of %d keys, more than %d", len(keys), MaxItems)
+	}
+	if len(keys) == 0 {
+		return nil, nil
+	}
+	c, stop := context.WithTimeout(c, d.config.Timeout)
+	defer stop()
+	var l []types.TransactGetItem
+	for _, k := range keys {
+		l = append(l, types.TransactGetItem{Get: &types.Get{TableName: &d.config.Table, Key: d.key(k)}})
+	}
+	o, err := d.client.TransactGetItems(c, &dynamodb.TransactGetItemsInput{TransactItems: l})
+	if err != nil {
+		return nil, errors.Wrapf(ErrUnavailable, "read: %v", err)
+	}
+	if len(o.Responses) != len(keys) {
+		return nil, errors.Wrapf(ErrUnavailable, "read: %d items for %d keys", len(o.Responses), len(keys))
+	}
+	r := make([]Row, len(keys))
+	for i, x := range o.Responses {
+		if r[i], err = decodeRow(x.Item); err != nil {
+			return nil, err
+		}
+		if r[i].Key != keys[i] && r[i].Version != 0 {
+			return nil, errors.Wrapf(ErrUnavailable, "read: item of %q for key %q", r[i].Key, keys[i])
+		}
+		r[i].Key = keys[i]
+	}
+	return r, nil
+}
+
+// Scan implements Store with one Query call for each page.
+func (d *Dynamo) Scan(c context.Context, prefix Key) ([]Row, error) {
+	var r []Row
+	q := d.query(prefix)
+	for {
+		o, err := d.page(c, q)
+		if err != nil {
+			return nil, errors.Wrapf(ErrUnavailable, "scan: %v", err)
+		}
+		for _, x := range o.Items {
+			w, err := decodeRow(x)
+			if err != nil {
+				return nil, err
+			}
+			r = append(r, w)
+		}
+		if len(o.LastEvaluatedKey) == 0 {
+			return r, nil
+		}
+		q.ExclusiveStartKey = o.LastEvaluatedKey
+	}
+}
+
+func (d *Dynamo) query(prefix Key) *dynamodb.QueryInput {
+	q := &dynamodb.QueryInput{
+		TableName:                &d.config.Table,
+		ConsistentRead:           aws.Bool(true),
+		KeyConditionExpression:   aws.String("#s = :s"),
+		ExpressionAttributeNames: map[string]string{"#s": attrSpace},
+		ExpressionAttributeValues: map[string]types.AttributeValue{
+			":s": &types.AttributeValueMemberS{Value: d.config.Space},
+		},
+	}
+	if prefix != "" { // DynamoDB refuses an empty operand of begins_with
+		q.KeyConditionExpression = aws.String("#s = :s AND begins_with(#k, :p)")
+		q.ExpressionAttributeNames["#k"] = attrKey
+		q.ExpressionAttributeValues[":p"] = &types.AttributeValueMemberS{Value: string(prefix)}
+	}
+	return q
+}
+
+func (d *Dynamo) page(c context.Context, q *dynamodb.QueryInput) (*dynamodb.QueryOutput, error) {
+	c, stop := context.WithTimeout(c, d.config.Timeout)
+	defer stop()
+	return d.client.Query(c, q)
+}
+
+// Commit implements Store with one TransactWriteItems call whose
+// ClientRequestToken is the id of the transaction.
+func (d *Dynamo) Commit(c context.Context, t Txn) error {
+	if err := t.Validate(); err != nil {
+		return err
+	}
+	c, stop := context.WithTimeout(c, d.config.Timeout)
+	defer stop()
+	var s atomic.Bool
+	c = httptrace.WithClientTrace(c, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { s.Store(true) },
+	})
+	_, err := d.client.TransactWriteItems(c, &dynamodb.TransactWriteItemsInput{
+		TransactItems: d.writes(t), ClientRequestToken: aws.String(string(t.ID)),
+	})
+	if err == nil {
+		return nil
+	}
+	return errors.Wrapf(classify(err, s.Load()), "transaction %s: %v", t.ID, err)
+}
+
+func (d *Dynamo) writes(t Txn) []types.TransactWriteItem {
+	var l []types.TransactWriteItem
+	for _, p := range t.Puts {
+		e, n, v := condition(p.Version)
+		l = append(l, types.TransactWriteItem{Put: &types.Put{
+			TableName: &d.config.Table, Item: d.item(t.ID, p),
+			ConditionExpression: e, ExpressionAttributeNames: n, ExpressionAttributeValues: v,
+		}})
+	}
+	for _, x := range t.Checks {
+		e, n, v := condition(x.Version)
+		l = append(l, types.TransactWriteItem{ConditionCheck: &types.ConditionCheck{
+			TableName: &d.config.Table, Key: d.key(x.Key),
+			ConditionExpression: e, ExpressionAttributeNames: n, ExpressionAttributeValues: v,
+		}})
+	}
+	return l
+}
+
+// condition returns the expression that a row has version v, with its names and
+// values.
+func condition(v Version) (*string, map[string]string, map[string]types.AttributeValue) {
+	n := map[string]string{"#v": attrVersion}
+	if v == 0 {
+		return aws.String("attribute_not_exists(#v)"), n, nil
+	}
+	return aws.String("#v = :v"), n, map[string]types.AttributeValue{":v": number(v)}
+}
+
+func (d *Dynamo) key(k Key) map[string]types.AttributeValue {
+	return map[string]types.AttributeValue{
+		attrSpace: &types.AttributeValueMemberS{Value: d.config.Space},
+		attrKey:   &types.AttributeValueMemberS{Value: string(k)},
+	}
+}
+
+func (d *Dynamo) item(i TxnID, p Put) map[string]types.AttributeValue {
+	var l []types.AttributeValue
+	for _, x := range recent(p.Txns, i) {
+		l = append(l, &types.AttributeValueMemberS{Value: string(x)})
+	}
+	m := d.key(p.Key)
+	m[attrVersion] = number(p.Version + 1)
+	m[attrValue] = &types.AttributeValueMemberB{Value: append([]byte{}, p.Value...)}
+	m[attrTxns] = &types.AttributeValueMemberL{Value: l}
+	return m
+}
+
+func number(v Version) types.AttributeValue {
+	return &types.AttributeValueMemberN{Value: strconv.FormatUint(uint64(v), 10)}
+}
+
+// decodeRow returns the row of an item; version 0 if there is none.
+func decodeRow(m map[string]types.AttributeValue) (Row, error) {
+	var r Row
+	if len(m) == 0 {
+		return r, nil
+	}
+	k, ok := m[attrKey].(*types.AttributeValueMemberS)
+	n, okn := m[attrVersion].(*types.AttributeValueMemberN)
+	b, okb := m[attrValue].(*types.AttributeValueMemberB)
+	l, okl := m[attrTxns].(*types.AttributeValueMemberL)
+	if !ok || !okn || !okb || !okl {
+		return r, errors.Wrap(ErrUnavailable, "item lacks an attribute of a row")
+	}
+	v, err := strconv.ParseUint(n.Value, 10, 64)
+	if err != nil {
+		return r, errors.Wrapf(ErrUnavailable, "row %s: version %q", k.Value, n.Value)
+	}
+	r = Row{Key: Key(k.Value), Version: Version(v), Value: b.Value}
+	for _, x := range l.Value {
+		s, ok := x.(*types.AttributeValueMemberS)
+		if !ok {
+			return r, errors.Wrapf(ErrUnavailable, "row %s: transaction id is not a string", k.Value)
+		}
+		r.Txns = append(r.Txns, TxnID(s.Value))
+	}
+	return r, nil
+}
--- /dev/null
+++ b/table/dynamo_test.go
@@ -0,0 +1,73 @@
+package table
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+)
+
+// Guards against a failed write that is taken for not applied although the
+// service may have applied it, and against a refusal that is needlessly taken
+// for ambiguous.
+func TestCommitErrors(t *testing.T) {
+	body := func(status int, b string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "application/x-amz-json-1.0")
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, b)
+		}
+	}
+	for _, x := range []struct {
+		name   string
+		answer http.HandlerFunc
+		want   error
+	}{
+		{"success", body(200, `{}`), nil},
+		{"no connection", nil, ErrUnavailable},
+		{"time-out", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, ErrAmbiguous},
+		{"broken", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, ErrAmbiguous},
+		{"cut", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "9")
+			_, _ = io.WriteString(w, "{")
+		}, ErrAmbiguous},
+		{"redirect", func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/b", 307) }, ErrAmbiguous},
+		{"500", body(500, `{"__type":"x#InternalServerError"}`), ErrAmbiguous},
+		{"503", body(503, ``), ErrAmbiguous},
+		{"400 without code", body(400, ``), ErrAmbiguous},
+		{"unknown code", body(400, `{"__type":"x#NewException"}`), ErrAmbiguous},
+		{"in progress", body(400, `{"__type":"x#TransactionInProgressException"}`), ErrAmbiguous},
+		{"throttled", body(400, `{"__type":"x#ThrottlingException"}`), ErrUnavailable},
+		{"no table", body(400, `{"__type":"x#ResourceNotFoundException"}`), ErrUnavailable},
+		{"condition", body(400, `{"__type":"x#TransactionCanceledException","CancellationReasons":[{"Code":"None"},{"Code":"ConditionalCheckFailed"}]}`), ErrConflict},
+		{"rival transaction", body(400, `{"__type":"x#TransactionCanceledException","CancellationReasons":[{"Code":"TransactionConflict"}]}`), ErrUnavailable},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			n := 0
+			h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				n++
+				_, _ = io.Copy(io.Discard, r.Body)
+				x.answer(w, r)
+			}))
+			defer h.Close()
+			if x.answer == nil {
+				h.Close()
+			}
+			d, err := NewDynamo(DynamoConfig{URL: h.URL, Table: "t", Timeout: 200 * time.Millisecond})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer d.Close()
+			err = d.Commit(context.Background(), Txn{ID: "x", Puts: []Put{{Key: "a"}}})
+			if !errors.Is(err, x.want) {
+				t.Errorf("Commit: %v, want %v", err, x.want)
+			}
+			if x.answer != nil && n != 1 {
+				t.Errorf("%d calls, want 1", n)
+			}
+		})
+	}
+}
