Add stand-in upstreams and the standin program

Cause: tests and the demo need upstreams that check fences, count what they run and fail on demand, and no process may stand for the platform's systems but our own.

--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,131 @@
+// Command standin plays the platform or upstreams on loopback, for tests and
+// for the demo.
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+	"github.com/rs/zerolog"
+
+	"dandelionrock.example/dandelionrock/internal/stand"
+)
+
+// Exit codes.
+const (
+	exitError = 1
+	exitUsage = 2
+)
+
+type platformCommand struct {
+	stand.PlatformConfig
+	log zerolog.Logger
+}
+
+type upstreamCommand struct {
+	stand.UpstreamConfig
+	Config     string `long:"config" description:"TOML file with several upstreams, or an organisation's configuration; the other flags are defaults"`
+	OnlyRegion string `long:"only-region" description:"only the upstreams of the file in this region"`
+	Control    string `long:"control" description:"IP address and port for faults and runs of all upstreams"`
+	log        zerolog.Logger
+}
+
+func main() {
+	l := zerolog.New(os.Stderr).With().Timestamp().Logger()
+	p := flags.NewNamedParser("standin", flags.HelpFlag|flags.PassDoubleDash)
+	a := &platformCommand{log: l}
+	b := &upstreamCommand{log: l}
+	if err := errors.CombineErrors(
+		add(p, "platform", "Plays the table service and the list of instances", a),
+		add(p, "upstream", "Plays one upstream, or many from a file", b),
+	); err != nil {
+		l.Error().Err(err).Msg("flags are inconsistent")
+		os.Exit(exitError)
+	}
+	_, err := p.Parse()
+	var f *flags.Error
+	switch {
+	case err == nil:
+	case errors.As(err, &f) && f.Type == flags.ErrHelp:
+		_, _ = io.WriteString(os.Stdout, f.Message+"\n")
+	case f != nil:
+		l.Error().Err(err).Msg("usage")
+		os.Exit(exitUsage)
+	default:
+		l.Error().Err(err).Msg("stand-in failed")
+		os.Exit(exitError)
+	}
+}
+
+func add(p *flags.Parser, name, text string, c any) error {
+	_, err := p.AddCommand(name, text, "", c)
+	return err
+}
+
+// Execute implements flags.Commander.
+func (c *platformCommand) Execute([]string) error {
+	x := signals()
+	c.Log = c.log
+	p, err := stand.NewPlatform(c.PlatformConfig)
+	if err != nil {
+		return err
+	}
+	c.log.Info().Str("address", p.Address()).Str("table", c.Table).Msg("platform serves")
+	<-x.Done()
+	c.log.Info().Interface("stats", p.Stats()).Msg("platform stops")
+	return p.Close()
+}
+
+// Execute implements flags.Commander.
+func (c *upstreamCommand) Execute([]string) error {
+	x := signals()
+	c.Log = c.log
+	l, err := c.list()
+	if err != nil {
+		return err
+	}
+	g, err := stand.NewGroup(c.Control, l)
+	if err != nil {
+		return err
+	}
+	for _, u := range g.Upstreams() {
+		c.log.Info().Str("upstream", u.Name()).Str("address", u.Address()).Msg("upstream serves")
+	}
+	<-x.Done()
+	c.log.Info().Msg("upstreams drain")
+	g.Drain()
+	return g.Close()
+}
+
+func (c *upstreamCommand) list() ([]stand.UpstreamConfig, error) {
+	if c.Config == "" {
+		return []stand.UpstreamConfig{c.UpstreamConfig}, nil
+	}
+	l, err := stand.ReadUpstreams(c.Config, c.UpstreamConfig)
+	if err != nil {
+		return nil, err
+	}
+	var r []stand.UpstreamConfig
+	for _, u := range l {
+		if c.OnlyRegion == "" || u.Region == c.OnlyRegion {
+			r = append(r, u)
+		}
+	}
+	if len(r) == 0 {
+		return nil, errors.Newf("%s has no upstream to play", c.Config)
+	}
+	return r, nil
+}
+
+// signals returns a context that ends at SIGTERM or SIGINT. A second signal
+// ends the process at once.
+func signals() context.Context {
+	c, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	context.AfterFunc(c, stop)
+	return c
+}
--- /dev/null
+++ b/internal/stand/execute.go
@@ -0,0 +1,283 @@
+package stand
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dandelionrock.example/dandelionrock/config"
+	"dandelionrock.example/dandelionrock/fence"
+	"dandelionrock.example/dandelionrock/internal/clock"
+	"dandelionrock.example/dandelionrock/shard"
+)
+
+// Headers of a request to an upstream and of its answer.
+const (
+	headerKey       = "Dandelionrock-Key"
+	headerTerm      = "Dandelionrock-Term"
+	headerShard     = "Dandelionrock-Shard"
+	headerEpoch     = "Dandelionrock-Epoch"
+	headerRequestID = "Dandelionrock-Request-Id"
+	headerOrderID   = "Dandelionrock-Order-Id"
+	headerTimeout   = "Dandelionrock-Timeout"
+	headerRefused   = "Dandelionrock-Refused"
+)
+
+// Values of the header dandelionrock-refused.
+const (
+	refusedStale    = "stale-grant"
+	refusedDraining = "draining"
+	refusedShed     = "shed"
+)
+
+// swapWait is how long an answer waits for another one to be exchanged with.
+const swapWait = 200 * time.Millisecond
+
+// request is a parsed request of a home.
+type request struct {
+	method, path        string
+	key, id, order      string
+	token               fence.Token
+	timeout             time.Duration
+	bytes               int64
+	fenced, interrupted bool
+}
+
+// Answer is the body of an upstream's answer.
+type Answer struct {
+	Upstream  string `json:"upstream"`
+	BootID    string `json:"boot-id"`
+	Key       string `json:"key"`
+	RequestID string `json:"request-id"`
+	OrderID   string `json:"order-id,omitempty"`
+	Method    string `json:"method"`
+	Path      string `json:"path"`
+	// BodyBytes is the length of the request's body.
+	BodyBytes int64  `json:"body-bytes"`
+	Padding   string `json:"padding,omitempty"`
+}
+
+func (u *Upstream) parse(r *http.Request) (*request, error) {
+	h := r.Header
+	q := &request{
+		method: r.Method, path: r.URL.RequestURI(),
+		key: h.Get(headerKey), id: h.Get(headerRequestID), order: h.Get(headerOrderID),
+		fenced: u.config.Fencing == config.FencingChecked,
+	}
+	var n [3]uint64
+	for i, k := range []struct {
+		name string
+		bits int
+	}{{headerTerm, 64}, {headerShard, 32}, {headerEpoch, 64}} {
+		s := h.Get(k.name)
+		if s == "" {
+			continue
+		}
+		var err error
+		if n[i], err = strconv.ParseUint(s, 10, k.bits); err != nil {
+			return nil, errors.Wrap(err, k.name)
+		}
+	}
+	q.token = fence.Token{Term: fence.Term(n[0]), Shard: shard.ID(n[1]), Epoch: shard.Epoch(n[2])}
+	if s := h.Get(headerTimeout); s != "" {
+		var err error
+		if q.timeout, err = time.ParseDuration(s); err != nil || q.timeout <= 0 {
+			return nil, errors.Newf("%s: %q is not a positive duration", headerTimeout, s)
+		}
+	}
+	var err error
+	q.bytes, err = io.Copy(io.Discard, r.Body)
+	q.interrupted = err != nil
+	return q, nil
+}
+
+// execute serves a request of the home.
+func (u *Upstream) execute(r *http.Request) *reply {
+	q, err := u.parse(r)
+	if err != nil {
+		return fail(http.StatusBadRequest, err)
+	}
+	if q.interrupted || u.faults.get().Outage ||
+		u.faults.take(func(f *UpstreamFaults) *int { return &f.LoseRequests }) {
+		return dropped
+	}
+	if u.faults.take(func(f *UpstreamFaults) *int { return &f.LateRuns }) {
+		u.late.after(milliseconds(u.faults.get().LateMs), func() { u.attempt(context.Background(), q) })
+		return dropped
+	}
+	c := r.Context()
+	if q.timeout > 0 {
+		var stop context.CancelFunc
+		c, stop = context.WithTimeout(c, q.timeout)
+		defer stop()
+	}
+	p := u.attempt(c, q)
+	if p.drop {
+		return p
+	}
+	p.header.Set(headerRequestID, q.id)
+	return u.spoil(p)
+}
+
+// attempt executes the request or refuses it.
+func (u *Upstream) attempt(c context.Context, q *request) *reply {
+	b, p := u.admit(q)
+	if p != nil {
+		return p
+	}
+	select {
+	case b.waiting <- struct{}{}:
+		defer func() { <-b.waiting }()
+	default:
+		return u.refuse(refusedShed)
+	}
+	select {
+	case b.slots <- struct{}{}:
+		defer func() { <-b.slots }()
+	case <-c.Done():
+		return u.refuse(refusedShed)
+	case <-b.done:
+		return dropped
+	}
+	u.executing(1)
+	defer u.executing(-1)
+	t := time.NewTimer(u.serviceTime(b))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-c.Done():
+	case <-b.done:
+	}
+	u.server.listener.gate.wait()
+	return u.finish(c, b, q)
+}
+
+// admit returns the run of the process that takes the request, or a refusal.
+func (u *Upstream) admit(q *request) (*boot, *reply) {
+	f := u.faults.get()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	b, d := u.boot, u.drained
+	switch {
+	case !d.IsZero() && time.Since(d) > time.Duration(u.config.DrainTime):
+		return nil, u.refuseLocked(refusedDraining)
+	case f.Shed:
+		return nil, u.refuseLocked(refusedShed)
+	case !u.permits(b, q, f):
+		return nil, u.refuseLocked(refusedStale)
+	}
+	if !d.IsZero() {
+		u.runs.LastStartAfterDrainMs = max(u.runs.LastStartAfterDrainMs, time.Since(d).Milliseconds())
+	}
+	return b, nil
+}
+
+// permits checks the token at this instant.
+func (u *Upstream) permits(b *boot, q *request, f UpstreamFaults) bool {
+	return !q.fenced || f.IgnoreFences || b.guard.Check(clock.Boot(), q.token) == nil
+}
+
+// finish checks the token again and counts the run, as one step with respect to
+// grants and restarts.
+func (u *Upstream) finish(c context.Context, b *boot, q *request) *reply {
+	f := u.faults.get()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	switch {
+	case u.boot != b:
+		return dropped
+	case c.Err() != nil:
+		u.runs.Cancelled++
+		return fail(http.StatusGatewayTimeout, errors.New("cancelled before it took effect"))
+	case !u.permits(b, q, f):
+		return u.refuseLocked(refusedStale)
+	}
+	u.runs.count(q)
+	return answer(http.StatusOK, Answer{
+		Upstream: u.config.Name, BootID: b.id, Key: q.key, RequestID: q.id, OrderID: q.order,
+		Method: q.method, Path: q.path, BodyBytes: q.bytes,
+		Padding: strings.Repeat(".", u.config.AnswerBytes),
+	})
+}
+
+func (u *Upstream) refuse(s string) *reply {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.refuseLocked(s)
+}
+
+// refuseLocked returns a refusal and counts it; u.mu is held.
+func (u *Upstream) refuseLocked(s string) *reply {
+	u.runs.Refused[s]++
+	n := http.StatusServiceUnavailable
+	if s == refusedStale {
+		n = http.StatusConflict
+	}
+	p := fail(n, errors.Newf("refused: %s", s))
+	p.header.Set(headerRefused, s)
+	return p
+}
+
+// executing counts executions in progress.
+func (u *Upstream) executing(n int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.runs.Executing += n
+	u.runs.MaxExecuting = max(u.runs.MaxExecuting, u.runs.Executing)
+	u.load.set(time.Now(), float64(u.runs.Executing)/float64(u.config.Slots))
+}
+
+// serviceTime is longer soon after a cold start.
+func (u *Upstream) serviceTime(b *boot) time.Duration {
+	d := float64(u.config.ServiceTime) * (1 + u.config.ServiceJitter*(2*rand.Float64()-1))
+	if t := float64(u.config.ColdTime); t > 0 {
+		d *= 1 + (u.config.ColdFactor-1)*max(0, 1-float64(time.Since(b.started))/t)
+	}
+	return time.Duration(d) + milliseconds(u.faults.get().SlowMs)
+}
+
+// exchange is an answer that waits for another one.
+type exchange struct {
+	give *reply
+	get  chan *reply
+}
+
+// spoil applies the faults of answers.
+func (u *Upstream) spoil(p *reply) *reply {
+	if d := u.faults.get().DelayAnswersMs; d > 0 {
+		time.Sleep(rand.N(milliseconds(d)))
+	}
+	if p.status != http.StatusOK {
+		return p
+	}
+	switch {
+	case u.faults.take(func(f *UpstreamFaults) *int { return &f.LoseAnswers }):
+		return dropped
+	case u.faults.take(func(f *UpstreamFaults) *int { return &f.CutAnswers }):
+		p.cut = true
+	case u.faults.take(func(f *UpstreamFaults) *int { return &f.WrongRequestIDs }):
+		p.header.Set(headerRequestID, "wrong-"+p.header.Get(headerRequestID))
+	case u.faults.take(func(f *UpstreamFaults) *int { return &f.SwapAnswers }):
+		return u.swapped(p)
+	}
+	return p
+}
+
+func (u *Upstream) swapped(p *reply) *reply {
+	x := exchange{p, make(chan *reply, 1)}
+	select {
+	case u.swap <- x:
+		return <-x.get
+	case y := <-u.swap:
+		y.get <- p
+		return y.give
+	case <-time.After(swapWait):
+		return p
+	}
+}
--- a/internal/stand/fault.go
+++ b/internal/stand/fault.go
@@ -57,6 +57,10 @@
 	LoseRequests int `json:"lose-requests"`
 	// LoseAnswers counts requests that run without an answer.
 	LoseAnswers int `json:"lose-answers"`
+	// LateRuns counts requests without an answer that are tried after LateMs,
+	// subject to the fence at that time.
+	LateRuns int `json:"late-runs"`
+	LateMs   int `json:"late-ms"`
 	// LoseGrantAnswers counts grants that are applied without an answer.
 	LoseGrantAnswers int `json:"lose-grant-answers"`
 	// CutAnswers counts answers that break off in the middle.
@@ -81,8 +85,9 @@
 type faults[F any] struct {
 	mu      sync.Mutex
 	current F
-	// changed is called with each new value; it clears what acts only once.
-	changed func(f *F)
+	// changed is called with each new value. It clears what acts only once,
+	// and returns a function that does it, or nil.
+	changed func(f *F) func()
 }
 
 func (s *faults[F]) get() F {
@@ -91,11 +96,13 @@
 	return s.current
 }
 
-func (s *faults[F]) set(f F) {
+// set replaces the faults and returns what remains to be done, or nil.
+func (s *faults[F]) set(f F) func() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.changed(&f)
+	x := s.changed(&f)
 	s.current = f
+	return x
 }
 
 // take uses up one of the counter that p selects, and reports whether it was
@@ -115,6 +122,7 @@
 // object names, DELETE ends all.
 func (s *faults[F]) serve(r *http.Request) *reply {
 	var f F
+	var x func()
 	switch r.Method {
 	case http.MethodGet:
 	case http.MethodPost:
@@ -124,13 +132,15 @@
 		if err := d.Decode(&f); err != nil {
 			return fail(http.StatusBadRequest, errors.Wrap(err, "faults"))
 		}
-		s.set(f)
+		x = s.set(f)
 	case http.MethodDelete:
-		s.set(f)
+		x = s.set(f)
 	default:
 		return fail(http.StatusMethodNotAllowed, errors.New("use GET, POST or DELETE"))
 	}
-	return answer(http.StatusOK, s.get())
+	p := answer(http.StatusOK, s.get())
+	p.then = x // a freeze or restart must not hit this answer
+	return p
 }
 
 func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/internal/stand/platform.go
+++ b/internal/stand/platform.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,22 +10,23 @@
 	"golang.org/x/time/rate"
 )
 
-// PlatformConfig configures a Platform.
+// PlatformConfig configures a Platform. The tags name the flags of cmd/standin.
 type PlatformConfig struct {
 	// Address is an IP address and port; port 0 chooses one.
-	Address string
+	Address string `long:"address" required:"true" description:"IP address and port"`
 	// Table is the name of the only table; "dandelionrock" if empty.
-	Table string
+	Table string `long:"table" default:"dandelionrock" description:"name of the table"`
 	// PageItems is the largest number of items in a page of a query; 100 if 0.
-	PageItems int
+	PageItems int `long:"page-items" default:"100" description:"items in a page of a query"`
 	// Delay is the latency in each direction.
-	Delay time.Duration
+	Delay Duration `long:"delay" description:"one-way latency"`
 	// MaxReads is the number of read calls per second, and MaxWrites that of
 	// written or checked items, beyond which calls are throttled; no limit if 0.
-	MaxReads, MaxWrites float64
+	MaxReads  float64 `long:"max-reads" description:"read calls per second; 0 for no limit"`
+	MaxWrites float64 `long:"max-writes" description:"written items per second; 0 for no limit"`
 	// File holds the list of instances in TOML or JSON; none if empty.
-	File string
-	Log  zerolog.Logger
+	File string         `long:"instances" description:"file with the list of instances"`
+	Log  zerolog.Logger `no-flag:"true"`
 }
 
 // Platform is a stand-in for the table service and the list of instances. Its
@@ -40,11 +40,7 @@
 	// reads and writes are nil without a limit.
 	reads, writes *rate.Limiter
 	server        *server
-
-	mu     sync.Mutex
-	closed bool
-	late   sync.WaitGroup
-	stop   chan struct{}
+	late          tasks
 }
 
 // NewPlatform starts a platform.
@@ -55,15 +51,18 @@
 	if c.PageItems <= 0 {
 		c.PageItems = 100
 	}
-	p := &Platform{config: c, stop: make(chan struct{}), reads: limiter(c.MaxReads), writes: limiter(c.MaxWrites)}
+	p := &Platform{config: c, reads: limiter(c.MaxReads), writes: limiter(c.MaxWrites)}
 	p.instances.file = c.File
-	p.faults.changed = func(f *PlatformFaults) { c.Log.Info().Interface("faults", f).Msg("faults changed") }
+	p.faults.changed = func(f *PlatformFaults) func() {
+		c.Log.Info().Interface("faults", f).Msg("faults changed")
+		return nil
+	}
 	if _, err := p.instances.list(0); err != nil {
 		return nil, err
 	}
 	m := http.NewServeMux()
-	m.Handle("POST /{$}", handler(p.table).after(c.Delay))
-	m.Handle("/instances", handler(p.serveInstances).after(c.Delay))
+	m.Handle("POST /{$}", handler(p.table).after(time.Duration(c.Delay)))
+	m.Handle("/instances", handler(p.serveInstances).after(time.Duration(c.Delay)))
 	m.Handle("/faults", handler(p.faults.serve))
 	m.Handle("GET /stats", handler(func(*http.Request) *reply { return answer(http.StatusOK, p.Stats()) }))
 	var err error
@@ -92,14 +91,9 @@
 
 // Close ends calls in flight, drops late writes and waits for both.
 func (p *Platform) Close() error {
-	p.mu.Lock()
-	if !p.closed {
-		p.closed = true
-		close(p.stop)
-	}
-	p.mu.Unlock()
+	p.late.stop()
 	err := p.server.close()
-	p.late.Wait()
+	p.late.wait()
 	return err
 }
 
@@ -172,21 +166,10 @@
 
 // postpone commits the writes after LateMs, unless the platform closes.
 func (p *Platform) postpone(t string, l []write) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.closed {
-		return
-	}
-	p.late.Add(1)
-	go func(d time.Duration) {
-		defer p.late.Done()
-		select {
-		case <-p.stop:
-		case <-time.After(d):
-			err := p.items.commit(t, l)
-			p.config.Log.Info().Str("token", t).AnErr("refused", err).Msg("late write landed")
-		}
-	}(milliseconds(p.faults.get().LateMs))
+	p.late.after(milliseconds(p.faults.get().LateMs), func() {
+		err := p.items.commit(t, l)
+		p.config.Log.Info().Str("token", t).AnErr("refused", err).Msg("late write landed")
+	})
 }
 
 func (p *Platform) serveInstances(r *http.Request) *reply {
--- a/internal/stand/platform_test.go
+++ b/internal/stand/platform_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -70,7 +71,7 @@
 			t.Fatal(err)
 		}
 		l, err := d.Read(c, "absent", "home/0")
-		if err != nil || l[0].Version != 0 || l[1].Version != table.Version(i+2) || string(l[1].Value) != "home/0" ||
+		if err != nil || !reflect.DeepEqual(l[1:], x.Rows()) || l[0].Version != 0 || l[1].Version != table.Version(i+2) || string(l[1].Value) != "home/0" ||
 			len(l[1].Txns) != min(i+2, table.RecentTxns) || l[1].Txns[len(l[1].Txns)-1] != x.ID {
 			t.Fatalf("Read: %+v, %v", l, err)
 		}
@@ -104,6 +105,7 @@
 		{`{"late-writes":1,"late-ms":50}`, table.ErrAmbiguous, true, nil},
 	} {
 		t.Run(x.faults, func(t *testing.T) {
+			t.Parallel()
 			p, d := startPlatform(t, PlatformConfig{})
 			y, z := put(t, d, "a"), put(t, d, "b", "c")
 			fault(t, p.URL(), http.MethodPost, x.faults)
@@ -140,7 +142,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a, err := http.DefaultClient.Do(r)
+	a, err := client.Do(r)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/stand/server.go
+++ b/internal/stand/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +25,8 @@
 	body   []byte
 	// drop closes the connection without an answer; cut does so in the middle.
 	drop, cut bool
+	// then is called after the answer was sent, if it is not nil.
+	then func()
 }
 
 var dropped = &reply{drop: true}
@@ -52,13 +55,19 @@
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(p.body)))
 	w.WriteHeader(p.status)
-	if !p.cut {
-		_, _ = w.Write(p.body) // the caller may be gone
-		return
+	n := len(p.body)
+	if p.cut {
+		n /= 2
 	}
-	_, _ = w.Write(p.body[:len(p.body)/2])
+	// An error means that the caller is gone, which changes nothing here.
+	_, _ = w.Write(p.body[:n])
 	_ = http.NewResponseController(w).Flush()
-	panic(http.ErrAbortHandler)
+	if p.cut {
+		panic(http.ErrAbortHandler)
+	}
+	if p.then != nil {
+		p.then()
+	}
 }
 
 // handler serves one call.
@@ -112,3 +121,59 @@
 	}
 	return err
 }
+
+// tasks runs functions later. The zero value is ready.
+type tasks struct {
+	mu      sync.Mutex
+	stopped bool
+	// timers holds the tasks that have not begun.
+	timers map[int]*time.Timer
+	// next is the key of the next task in timers.
+	next  int
+	begun sync.WaitGroup
+}
+
+// after runs f after d, unless stop is called before.
+func (t *tasks) after(d time.Duration, f func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stopped {
+		return
+	}
+	if t.timers == nil {
+		t.timers = map[int]*time.Timer{}
+	}
+	i := t.next
+	t.next++
+	t.timers[i] = time.AfterFunc(d, func() {
+		if t.begin(i) {
+			defer t.begun.Done()
+			f()
+		}
+	})
+}
+
+// begin reports whether task i is still wanted.
+func (t *tasks) begin(i int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stopped {
+		return false
+	}
+	delete(t.timers, i)
+	t.begun.Add(1)
+	return true
+}
+
+// stop drops the tasks that have not begun.
+func (t *tasks) stop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped = true
+	for _, x := range t.timers {
+		x.Stop()
+	}
+}
+
+// wait returns when the tasks that had begun before stop have ended.
+func (t *tasks) wait() { t.begun.Wait() }
--- a/table/dynamo.go
+++ b/table/dynamo.go
@@ -188,10 +188,10 @@
 
 func (d *Dynamo) writes(t Txn) []types.TransactWriteItem {
 	var l []types.TransactWriteItem
-	for _, p := range t.Puts {
-		e, n, v := condition(p.Version)
+	for i, r := range t.Rows() {
+		e, n, v := condition(t.Puts[i].Version)
 		l = append(l, types.TransactWriteItem{Put: &types.Put{
-			TableName: &d.config.Table, Item: d.item(t.ID, p),
+			TableName: &d.config.Table, Item: d.item(r),
 			ConditionExpression: e, ExpressionAttributeNames: n, ExpressionAttributeValues: v,
 		}})
 	}
@@ -222,14 +222,14 @@
 	}
 }
 
-func (d *Dynamo) item(i TxnID, p Put) map[string]types.AttributeValue {
+func (d *Dynamo) item(r Row) map[string]types.AttributeValue {
 	var l []types.AttributeValue
-	for _, x := range recent(p.Txns, i) {
+	for _, x := range r.Txns {
 		l = append(l, &types.AttributeValueMemberS{Value: string(x)})
 	}
-	m := d.key(p.Key)
-	m[attrVersion] = number(p.Version + 1)
-	m[attrValue] = &types.AttributeValueMemberB{Value: append([]byte{}, p.Value...)}
+	m := d.key(r.Key)
+	m[attrVersion] = number(r.Version)
+	m[attrValue] = &types.AttributeValueMemberB{Value: append([]byte{}, r.Value...)}
 	m[attrTxns] = &types.AttributeValueMemberL{Value: l}
 	return m
 }
--- a/table/dynamo_test.go
+++ b/table/dynamo_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -46,9 +47,9 @@
 		{"rival transaction", body(400, `{"__type":"x#TransactionCanceledException","CancellationReasons":[{"Code":"TransactionConflict"}]}`), ErrUnavailable},
 	} {
 		t.Run(x.name, func(t *testing.T) {
-			n := 0
+			var n atomic.Int32
 			h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				n++
+				n.Add(1)
 				_, _ = io.Copy(io.Discard, r.Body)
 				x.answer(w, r)
 			}))
@@ -65,8 +66,8 @@
 			if !errors.Is(err, x.want) {
 				t.Errorf("Commit: %v, want %v", err, x.want)
 			}
-			if x.answer != nil && n != 1 {
-				t.Errorf("%d calls, want 1", n)
+			if x.answer != nil && n.Load() != 1 {
+				t.Errorf("%d calls, want 1", n.Load())
 			}
 		})
 	}
--- a/table/fake.go
+++ b/table/fake.go
@@ -296,22 +296,13 @@
 			return errors.Wrapf(ErrConflict, "fake: row %s has version %d, not %d", x.Key, v, x.Version)
 		}
 	}
-	for _, p := range t.Puts {
-		f.rows[p.Key] = Row{
-			Key: p.Key, Version: p.Version + 1,
-			Value: slices.Clone(p.Value), Txns: recent(p.Txns, t.ID),
-		}
+	for _, r := range t.Rows() {
+		f.rows[r.Key] = r
 	}
 	f.applied[t.ID]++
 	return nil
 }
 
-// clone returns a copy that shares no memory with r.
-func (r Row) clone() Row {
-	r.Value, r.Txns = slices.Clone(r.Value), slices.Clone(r.Txns)
-	return r
-}
-
 // clone returns a copy that shares no memory with t.
 func (t Txn) clone() Txn {
 	t.Puts, t.Checks = slices.Clone(t.Puts), slices.Clone(t.Checks)
--- a/table/table.go
+++ b/table/table.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
@@ -94,6 +95,22 @@
 	Repeat bool
 }
 
+// Rows returns the written rows as they are once the transaction has committed.
+func (t Txn) Rows() []Row {
+	l := make([]Row, 0, len(t.Puts))
+	for _, p := range t.Puts {
+		r := Row{Key: p.Key, Version: p.Version + 1, Value: p.Value, Txns: recent(p.Txns, t.ID)}
+		l = append(l, r.clone())
+	}
+	return l
+}
+
+// clone returns a copy that shares no memory with r.
+func (r Row) clone() Row {
+	r.Value, r.Txns = slices.Clone(r.Value), slices.Clone(r.Txns)
+	return r
+}
+
 // Validate returns ErrInvalid with the cause, or nil.
 func (t Txn) Validate() error {
 	if len(t.ID) == 0 || len(t.ID) > maxTxnID {
