--- /dev/null
+++ b/internal/home/upstream_test.go
@@ -0,0 +1,262 @@
+package home
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dandelionrock.example/dandelionrock/schema"
+)
+
+// standIn is an upstream that answers each request with raw text.
+type standIn struct {
+	net.Listener
+	connections, requests atomic.Int32
+	last                  atomic.Pointer[http.Request]
+	body                  atomic.Pointer[string]
+}
+
+// serve starts a stand-in. The answer is "" to close the connection and "wait"
+// to wait for its end; ID stands for the request id.
+func serve(t *testing.T, answer func(n int32) string) *standIn {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	s := &standIn{Listener: l}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.connections.Add(1)
+			go s.connection(c, answer)
+		}
+	}()
+	return s
+}
+
+func (s *standIn) connection(c net.Conn, answer func(n int32) string) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		b, _ := io.ReadAll(r.Body)
+		t := string(b)
+		s.last.Store(r)
+		s.body.Store(&t)
+		a := answer(s.requests.Add(1))
+		switch a {
+		case "":
+			return
+		case "wait":
+			_, _ = in.ReadByte()
+			return
+		}
+		_, _ = io.WriteString(c, strings.ReplaceAll(a, "ID", r.Header.Get("dandelionrock-request-id")))
+	}
+}
+
+const (
+	whole  = "HTTP/1.1 200 OK\r\nDandelionrock-Request-Id: ID\r\nX-A: b\r\nContent-Length: 2\r\n\r\nok"
+	status = "HTTP/1.1 200 OK\r\nDandelionrock-Request-Id: ID\r\n"
+)
+
+func allowed() error { return nil }
+
+func message(method, body string) *schema.ForwardRequest {
+	return &schema.ForwardRequest{RequestId: "r1", Method: method, Path: "/a%2Fb?c=d", Body: []byte(body), Headers: []*schema.HeaderField{
+		{Name: "X-Caller", Value: "1"}, {Name: "Idempotency-Key", Value: "2"}, {Name: "Dandelionrock-Term", Value: "99"},
+	}}
+}
+
+func describe(r *schema.ForwardReply) string {
+	o := map[schema.Outcome]string{schema.Outcome_OUTCOME_ANSWERED: "answered", schema.Outcome_OUTCOME_NOT_RUN: "not-run", schema.Outcome_OUTCOME_UNKNOWN: "unknown"}[r.Outcome]
+	if r.Retry {
+		o += " retry"
+	}
+	return strings.TrimSpace(o + " " + r.Reason + string(r.Body))
+}
+
+// Guards against an outcome that claims more than the exchange shows.
+func TestOutcomes(t *testing.T) {
+	for _, tc := range []struct{ name, answer, want string }{
+		{"whole", whole, "answered ok"},
+		{"chunked", status + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", "answered ok"},
+		{"no echo", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "unknown request-id-mismatch"},
+		{"other echo", "HTTP/1.1 200 OK\r\nDandelionrock-Request-Id: r0\r\nContent-Length: 0\r\n\r\n", "unknown request-id-mismatch"},
+		{"stale grant", status + "Dandelionrock-Refused: stale-grant\r\nContent-Length: 0\r\n\r\n", "not-run retry stale-grant"},
+		{"draining", status + "Dandelionrock-Refused: draining\r\nContent-Length: 0\r\n\r\n", "not-run retry draining"},
+		{"shed", status + "Dandelionrock-Refused: shed\r\nContent-Length: 0\r\n\r\n", "not-run shed"},
+		{"refusal for another", "HTTP/1.1 200 OK\r\nDandelionrock-Refused: shed\r\nContent-Length: 0\r\n\r\n", "unknown request-id-mismatch"},
+		{"strange refusal", status + "Dandelionrock-Refused: tired\r\nContent-Length: 0\r\n\r\n", "unknown unrecognised-refusal"},
+		{"too large", status + "Content-Length: 9\r\n\r\n123456789", "unknown answer-too-large"},
+		{"too large in chunks", status + "Transfer-Encoding: chunked\r\n\r\n9\r\n123456789\r\n0\r\n\r\n", "unknown answer-too-large"},
+		{"no length", status + "\r\nok", "unknown answer-truncated"},
+		{"no answer", "", "unknown upstream-interrupted"},
+		{"silence", "wait", "unknown deadline"},
+	} {
+		s := serve(t, func(int32) string { return tc.answer })
+		u := NewUpstream(UpstreamOptions{Address: s.Addr().String(), MaxAnswer: 8})
+		d := 10 * time.Second
+		if tc.answer == "wait" {
+			d = 100 * time.Millisecond
+		}
+		c, stop := context.WithTimeout(t.Context(), d)
+		if got := describe(u.Send(c, message("POST", "x"), Token{}, allowed)); got != tc.want {
+			t.Errorf("%s: %s, want %s", tc.name, got, tc.want)
+		}
+		stop()
+		u.Close()
+	}
+}
+
+// Guards against a truncated answer that is passed on, at any byte.
+func TestTruncatedAnswers(t *testing.T) {
+	for _, a := range []string{whole, status + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"} {
+		a = strings.ReplaceAll(a, "ID", "r1")
+		for n := range len(a) {
+			s := serve(t, func(int32) string { return "" })
+			u := NewUpstream(UpstreamOptions{Address: s.Addr().String(), Dial: func(context.Context, string) (net.Conn, error) {
+				p, q := net.Pipe()
+				go func() {
+					_, _ = http.ReadRequest(bufio.NewReader(q))
+					_, _ = io.WriteString(q, a[:n])
+					q.Close()
+				}()
+				return p, nil
+			}})
+			if r := u.Send(t.Context(), message("POST", ""), Token{}, allowed); r.Outcome != schema.Outcome_OUTCOME_UNKNOWN {
+				t.Errorf("%d of %d bytes: %s", n, len(a), describe(r))
+			}
+		}
+	}
+}
+
+// Guards against requests that are changed on their way, and against tokens
+// that a caller could forge.
+func TestRequestIsPassedOn(t *testing.T) {
+	s := serve(t, func(int32) string { return whole })
+	u := NewUpstream(UpstreamOptions{Address: s.Addr().String()})
+	defer u.Close()
+	for _, tc := range []struct{ method, body string }{{"POST", "body"}, {"POST", ""}, {"GET", ""}, {"OPTIONS", ""}, {"DELETE", ""}, {"GET", "body"}} {
+		r := u.Send(t.Context(), message(tc.method, tc.body), Token{Term: 7, Shard: 3, Epoch: 5}, allowed)
+		h := s.last.Load()
+		if describe(r) != "answered ok" || *s.body.Load() != tc.body || h.Method != tc.method || h.RequestURI != "/a%2Fb?c=d" {
+			t.Errorf("%s %q: %s; received %s %s %q", tc.method, tc.body, describe(r), h.Method, h.RequestURI, *s.body.Load())
+		}
+		for k, v := range map[string]string{"Term": "7", "Shard": "3", "Epoch": "5", "Request-Id": "r1"} {
+			if got := h.Header.Values("dandelionrock-" + k); len(got) != 1 || got[0] != v {
+				t.Errorf("%s: %s is %q, want %s", tc.method, k, got, v)
+			}
+		}
+		if len(h.TransferEncoding) > 0 || h.Header.Get("Idempotency-Key") != "2" || h.Header.Get("X-Caller") != "1" || h.Header.Get("User-Agent") != "" {
+			t.Errorf("%s: received %v %v", tc.method, h.TransferEncoding, h.Header)
+		}
+		if len(r.Headers) != 1 || r.Headers[0].Name != "X-A" {
+			t.Errorf("answer has headers %v, want X-A", r.Headers)
+		}
+	}
+	q := message("GET", "")
+	q.Path = "//x//y?z"
+	if u.Send(t.Context(), q, Token{}, allowed); s.last.Load().RequestURI != q.Path {
+		t.Errorf("received %s, want %s", s.last.Load().RequestURI, q.Path)
+	}
+	if n := s.connections.Load(); n != 1 {
+		t.Errorf("%d connections, want 1", n)
+	}
+}
+
+// Guards against a request that the transport sends again by itself when a
+// connection that was idle is closed.
+func TestNoAutomaticRetry(t *testing.T) {
+	for _, m := range []string{"GET", "HEAD", "OPTIONS", "POST", "DELETE"} {
+		s := serve(t, func(n int32) string {
+			if n == 2 {
+				return ""
+			}
+			return strings.Replace(whole, "2\r\n\r\nok", "0\r\n\r\n", 1)
+		})
+		u := NewUpstream(UpstreamOptions{Address: s.Addr().String()})
+		first := u.Send(t.Context(), message(m, ""), Token{}, allowed)
+		second := u.Send(t.Context(), message(m, ""), Token{}, allowed)
+		if describe(first) != "answered" || describe(second) != "unknown upstream-interrupted" || s.requests.Load() != 2 {
+			t.Errorf("%s: %s, %s, %d requests", m, describe(first), describe(second), s.requests.Load())
+		}
+		u.Close()
+	}
+}
+
+// Guards against not-run outcomes after a write, and against writes without
+// authority.
+func TestNotRun(t *testing.T) {
+	s := serve(t, func(int32) string { return whole })
+	open := NewUpstream(UpstreamOptions{Address: s.Addr().String()})
+	refused := NewUpstream(UpstreamOptions{Address: "x", Dial: func(context.Context, string) (net.Conn, error) { return nil, io.EOF }})
+	slow := NewUpstream(UpstreamOptions{Address: "x", DialTimeout: time.Hour, Dial: func(c context.Context, _ string) (net.Conn, error) {
+		<-c.Done()
+		return nil, c.Err()
+	}})
+	lost := func() error { return errors.New("lost") }
+	invalid := message("GET", "")
+	invalid.Method = "A B"
+	for _, tc := range []struct {
+		name   string
+		u      *Upstream
+		q      *schema.ForwardRequest
+		permit func() error
+		want   string
+	}{
+		{"dial refused", refused, message("POST", "x"), allowed, "not-run retry upstream-unreachable"},
+		{"deadline in dial", slow, message("POST", "x"), allowed, "not-run deadline"},
+		{"authority lost, new connection", open, message("POST", "x"), lost, "not-run retry authority-lost"},
+		{"with authority", open, message("POST", ""), allowed, "answered ok"},
+		{"authority lost, old connection", open, message("POST", ""), lost, "not-run retry authority-lost"},
+		{"invalid method", open, invalid, allowed, "not-run invalid-request"},
+	} {
+		d := 10 * time.Second
+		if tc.u == slow {
+			d = 50 * time.Millisecond
+		}
+		c, stop := context.WithTimeout(t.Context(), d)
+		if got := describe(tc.u.Send(c, tc.q, Token{}, tc.permit)); got != tc.want {
+			t.Errorf("%s: %s, want %s", tc.name, got, tc.want)
+		}
+		stop()
+	}
+	if n := s.requests.Load(); n != 1 {
+		t.Errorf("%d requests received, want 1", n)
+	}
+}
+
+// Guards against a connection that is used again after a cancellation or a
+// mismatch, and against more connections than allowed.
+func TestConnections(t *testing.T) {
+	s := serve(t, func(n int32) string {
+		return []string{"", "wait", strings.ReplaceAll(whole, "ID", "r0"), whole}[n]
+	})
+	u := NewUpstream(UpstreamOptions{Address: s.Addr().String(), Connections: 1})
+	for i, want := range []string{"unknown cancelled", "unknown request-id-mismatch", "answered ok"} {
+		c, stop := context.WithCancel(t.Context())
+		if i == 0 {
+			time.AfterFunc(50*time.Millisecond, stop)
+		}
+		if got := describe(u.Send(c, message("POST", "x"), Token{}, allowed)); got != want || s.connections.Load() != int32(i+1) {
+			t.Errorf("request %d: %s on connection %d, want %s", i, got, s.connections.Load(), want)
+		}
+		stop()
+	}
+	u.Close()
+}
