--- a/limit/limit.go
+++ b/limit/limit.go
@@ -189,6 +189,15 @@
 	a.flying--
 }
 
+// Retry takes one retry from the budget of an account that has a request in
+// flight, or reports false if there is none.
+func (l *Limiter[K]) Retry(now time.Time, key K) bool {
+	l.mu.RLock()
+	a := l.accounts[key]
+	l.mu.RUnlock()
+	return a != nil && a.Retry(now)
+}
+
 // Retry takes one retry from the budget, or reports false if there is none.
 func (a *Account) Retry(now time.Time) bool {
 	a.mu.Lock()
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -104,7 +104,7 @@
 	if len(s.flying[k]) == 0 {
 		return nil
 	}
-	ok := s.flying[k][0].Retry(time.Unix(0, 0).Add(s.now))
+	ok := s.limiter.Retry(time.Unix(0, 0).Add(s.now), k)
 	if ok {
 		s.retries[k]++
 	}
