Echo the request id in every answer of a stand-in upstream

Cause: the answer 400 to a malformed header had no request id, so that a home would take it for another request's answer. Change: the id is echoed there too; tests cover it and slow grants. Figures: TestUpstreamFaults fails in the case of the malformed time-out before the change and passes after it. Conclusion: an answer without the echo comes only from a fault.

--- a/internal/stand/execute.go
+++ b/internal/stand/execute.go
@@ -101,7 +101,9 @@
 func (u *Upstream) execute(r *http.Request) *reply {
 	q, err := u.parse(r)
 	if err != nil {
-		return fail(http.StatusBadRequest, err)
+		p := fail(http.StatusBadRequest, err)
+		p.header.Set(headerRequestID, r.Header.Get(headerRequestID))
+		return p
 	}
 	if q.interrupted || u.faults.get().Outage ||
 		u.faults.take(func(f *UpstreamFaults) *int { return &f.LoseRequests }) {
--- a/internal/stand/upstream_test.go
+++ b/internal/stand/upstream_test.go
@@ -172,7 +172,7 @@
 			if x.status == 0 && r.err == nil || x.status != 0 && (r.status != x.status || r.refused != x.refused) {
 				t.Errorf("result %+v, want status %d, refused %q", r, x.status, x.refused)
 			}
-			if id := strings.Contains(x.faults, "wrong"); x.status == 200 && (r.id == "1") == id {
+			if id := strings.Contains(x.faults, "wrong"); x.status != 0 && (r.id == "1") == id {
 				t.Errorf("request id %q", r.id)
 			}
 			if a := r.answer; x.status == 200 && (a.RequestID != "1" || a.Key != "key-1" || a.OrderID != "order-1" || a.BodyBytes != 4) {
@@ -296,10 +296,14 @@
 	if s := get(t, h.URL()+"/load"); s != l {
 		t.Errorf("load %s, want the old %s", s, l)
 	}
-	h.SetFaults(UpstreamFaults{})
+	h.SetFaults(UpstreamFaults{SlowGrantsMs: 50})
 	if s := get(t, h.URL()+"/load"); s == l {
 		t.Errorf("load %s did not change", s)
 	}
+	n := time.Now()
+	if err := h.renew(); err != nil || time.Since(n) < 50*time.Millisecond {
+		t.Errorf("slow grant was answered after %v, %v", time.Since(n), err)
+	}
 }
 
 func get(t *testing.T, url string) string {
