Serve requests end to end through separate processes

Cause: the parts existed, but no process joined them. Change: internal/home runs the lease, the queue, the order record and the upstream's connection; internal/node keeps the directory, watches peers, takes over and hands over homes, assigns shards and serves callers and operators. A home row also states the holder's TTL and longest request, so that a successor with a changed configuration waits for the old ones. The key and the order id are passed on to the upstream. kratos.Signal with an empty list subscribes to all signals, and the runtime's own preemption signal ended the server at once; SIGKILL is given instead.

--- a/cmd/dandelionrock/serve.go
+++ b/cmd/dandelionrock/serve.go
@@ -2,12 +2,51 @@
 
 import (
 	"context"
+	"io"
+	"os"
+	"time"
 
-	"dandelionrock.example/dandelionrock/config"
 	"github.com/cockroachdb/errors"
+	klog "github.com/go-kratos/kratos/v2/log"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"dandelionrock.example/dandelionrock/config"
+	"dandelionrock.example/dandelionrock/internal/node"
+	"dandelionrock.example/dandelionrock/table"
 )
 
+// metricsInterval is how often counters are handed to the metrics page.
+const metricsInterval = time.Second
+
 // serve runs an instance until c is cancelled.
-func serve(context.Context, *config.Settings) error {
-	return errors.New("serve is not implemented yet")
+func serve(c context.Context, s *config.Settings) error {
+	l, err := zerolog.ParseLevel(s.LogLevel)
+	if err != nil {
+		return errors.Wrap(err, "log level")
+	}
+	g := zerolog.New(os.Stderr).Level(l).With().Timestamp().Str("instance-id", s.InstanceID).Logger()
+	// The transport library's own log lines are not JSON lines.
+	klog.SetLogger(klog.NewStdLogger(io.Discard))
+	r := prometheus.NewReporter(prometheus.Options{})
+	m, k := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "dandelionrock", CachedReporter: r, Separator: prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
+	}, metricsInterval)
+	defer func() { _ = k.Close() }()
+	t, err := table.NewDynamo(table.DynamoConfig{
+		URL: s.Platform.TableURL, Table: s.Platform.TableName, Timeout: s.Platform.CallTimeout,
+	})
+	if err != nil {
+		return err
+	}
+	defer t.Close()
+	g.Info().Str("http-address", s.HTTPAddress).Str("rpc-address", s.RPCAddress).Msg("instance starts")
+	n := node.New(node.Options{Settings: s, Store: t, Log: g, Scope: m, Metrics: r.HTTPHandler()})
+	if err := n.Run(c); err != nil {
+		return err
+	}
+	g.Info().Msg("instance has left")
+	return nil
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -40,6 +40,9 @@
 	ReasonRetryBudget = "retry-budget"
 )
 
+// operatorPath is no name of an organisation.
+const operatorPath = "operate"
+
 const (
 	// headerTimeout bounds how long a caller may take for the headers.
 	headerTimeout = 10 * time.Second
@@ -49,7 +52,7 @@
 
 // NewServer returns a kratos server on l. Paths of two or more segments go to
 // caller, without passing kratos' router, which would redirect those that it
-// considers unclean. Other paths, and those below /-/, are for the operator:
+// considers unclean. Other paths, and those below /operate/, are for the operator:
 // the user of the server registers them.
 func NewServer(l net.Listener, caller http.Handler) *khttp.Server {
 	s := khttp.NewServer(khttp.Listener(l), khttp.Timeout(0), khttp.StrictSlash(false), khttp.Filter(func(next http.Handler) http.Handler {
@@ -61,7 +64,6 @@
 			caller.ServeHTTP(w, r)
 		})
 	}))
-	s.HandlePrefix("/", http.NotFoundHandler())
 	s.ReadHeaderTimeout, s.IdleTimeout, s.MaxHeaderBytes = headerTimeout, idleTimeout, maxHeader
 	return s
 }
@@ -70,5 +72,5 @@
 func isOperator(p string) bool {
 	p = strings.TrimPrefix(p, "/")
 	first, rest, ok := strings.Cut(p, "/")
-	return !ok || first == "-" || rest == ""
+	return !ok || first == operatorPath || rest == ""
 }
--- a/internal/home/dispatch.go
+++ b/internal/home/dispatch.go
@@ -20,22 +20,17 @@
 	reasonNotGranted = "not-granted"
 	reasonNotHome    = "not-home"
 	reasonQueueFull  = "queue-full"
-	reasonDeadline   = "deadline"
-	reasonCancelled  = "cancelled"
 )
 
-// notRun returns the reply to a request that no upstream has executed.
-func notRun(reason string, retry bool) *schema.ForwardReply {
-	return &schema.ForwardReply{Outcome: schema.Outcome_OUTCOME_NOT_RUN, Reason: reason, Retry: retry}
-}
-
 // Forward executes a request at the upstream. c ends at the request's deadline.
 func (h *Home) Forward(c context.Context, r *schema.ForwardRequest) *schema.ForwardReply {
-	y := h.forward(c, r)
-	if y.GetUpstream() == "" {
-		y.Upstream = h.c.Upstream.Name
-	}
-	y.Home, y.Term = h.c.Instance, uint64(h.c.Lease.Term)
+	return h.forward(c, r)
+}
+
+// stamp completes a reply with who gave it. It is called before the reply is
+// shared with the record of orders.
+func (h *Home) stamp(y *schema.ForwardReply) *schema.ForwardReply {
+	y.Upstream, y.Home, y.Term = h.c.Upstream.Name, h.c.Instance, uint64(h.c.Lease.Term)
 	return y
 }
 
@@ -53,13 +48,29 @@
 	if err != nil {
 		return notRun(dispatchReason(err), true)
 	}
-	y, clean := h.c.Carrier.Do(c, t, r)
-	h.end(c, t.Shard, clean)
+	if r.GetOrderId() != "" {
+		// A caller that goes away and repeats its order gets the answer of this
+		// run, so that only the deadline ends it.
+		x, f := detach(c)
+		defer f()
+		c = x
+	}
+	y := h.c.Sender.Send(c, r, t, func() error { return h.permit(t) })
+	h.end(c, t.Shard, y.GetOutcome() != schema.Outcome_OUTCOME_UNKNOWN)
 	h.hot.add(t.Shard, r.GetKey())
 	y.Epoch = uint64(t.Epoch)
 	return y
 }
 
+// detach returns a context with the deadline of c that isn't cancelled with it.
+func detach(c context.Context) (context.Context, context.CancelFunc) {
+	x := context.WithoutCancel(c)
+	if d, ok := c.Deadline(); ok {
+		return context.WithDeadline(x, d)
+	}
+	return context.WithCancel(x)
+}
+
 // refuse returns a reply for a request that would be refused behind the queue,
 // or nil. It spares the caller the wait.
 func (h *Home) refuse(key string) *schema.ForwardReply {
@@ -90,7 +101,7 @@
 }
 
 // begin checks the authority over the key and counts the request as in flight.
-// Nothing may wait between begin and the write of the request.
+// The authority is checked again by permit when the request is written.
 func (h *Home) begin(key string) (fence.Token, error) {
 	i, owner := h.find(key)
 	if owner != h.c.Upstream.Name {
@@ -111,6 +122,17 @@
 	return t, nil
 }
 
+// permit checks that a request may still be written with the token.
+func (h *Home) permit(t fence.Token) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	x, err := h.lease.CanDispatch(h.c.Now(), t.Shard)
+	if err == nil && x != t {
+		err = lease.ErrNotGranted
+	}
+	return err
+}
+
 // end takes a request out of the count. One that did not end cleanly may be
 // executed until its deadline, which the upstream honours.
 func (h *Home) end(c context.Context, i shard.ID, clean bool) {
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -32,13 +32,19 @@
 	Map(organisation, service string) *shard.Map
 }
 
-// Upstream carries messages to the upstream.
-type Upstream interface {
-	// Grant sends a grant message and returns the answer.
+// Granter sends grant messages to the upstream.
+type Granter interface {
+	// Grant sends a message and returns the answer.
 	Grant(c context.Context, m *schema.GrantRequest) (*schema.GrantReply, error)
-	// Do sends a request with its token. clean is whether the upstream has
-	// certainly ended, or never begun, its work on the request.
-	Do(c context.Context, t fence.Token, r *schema.ForwardRequest) (reply *schema.ForwardReply, clean bool)
+	Close() error
+}
+
+// Sender sends requests to the upstream.
+type Sender interface {
+	// Send sends a request at most once and returns its outcome. Permit is
+	// called immediately before the request is written; with an error from it
+	// nothing is written.
+	Send(c context.Context, q *schema.ForwardRequest, t fence.Token, permit func() error) *schema.ForwardReply
 	Close() error
 }
 
@@ -56,7 +62,8 @@
 	Instance  string
 	Directory Directory
 	Store     table.Store
-	Carrier   Upstream
+	Granter   Granter
+	Sender    Sender
 	// Announce tells the other instances of rows that are known to be
 	// committed.
 	Announce func(rows []table.Row)
@@ -72,7 +79,7 @@
 // Home is one term of the home of one upstream. Use New.
 type Home struct {
 	c      Config
-	orders *order.Book[*schema.ForwardReply]
+	orders *order.Record[*schema.ForwardReply]
 	gate   *queue.Gate[string]
 	hot    *load
 
@@ -118,7 +125,7 @@
 	h := &Home{
 		c:          c,
 		lease:      lease.New(c.Lease),
-		orders:     order.New[*schema.ForwardReply](order.Options{Since: c.Taken}),
+		orders:     order.NewRecord(order.Options{Term: c.Taken}, replySize),
 		gate:       queue.New[string](queue.Options{Slots: c.Upstream.Slots}),
 		hot:        newLoad(),
 		flights:    make(map[shard.ID]*flight),
@@ -177,7 +184,7 @@
 	}
 	c, f := context.WithTimeout(h.life, h.c.Lease.TTL/grantTimeout)
 	defer f()
-	a, err := h.c.Carrier.Grant(c, m)
+	a, err := h.c.Granter.Grant(c, m)
 	if err != nil {
 		return
 	}
@@ -314,7 +321,7 @@
 	s = h.lease.State(h.c.Now())
 	h.mu.Unlock()
 	q := h.gate.Stats()
-	return s, q.Running, q.Queued
+	return s, q.InFlight, q.Queued
 }
 
 // Key returns the key of the home row.
@@ -331,7 +338,8 @@
 	h.mu.Unlock()
 	h.stop()
 	h.done.Wait()
-	return h.c.Carrier.Close()
+	err := h.c.Granter.Close()
+	return errors.CombineErrors(err, h.c.Sender.Close())
 }
 
 // Retire stops dispatching and waits until the upstream executes nothing more
--- a/internal/home/move.go
+++ b/internal/home/move.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 	"google.golang.org/protobuf/proto"
 
 	"dandelionrock.example/dandelionrock/event"
@@ -125,13 +124,15 @@
 			if shard.BlockOf(i, h.c.Service.ShardCount) != b.Number() {
 				continue
 			}
-			e, err := b.Entry(i)
-			if err != nil || e.Upstream != h.c.Upstream.Name {
+			e, ok := b.Entry(i)
+			if !ok || e.Upstream != h.c.Upstream.Name {
 				continue
 			}
-			if x, err = x.Move(i, to); err != nil {
+			y, err := x.Move(i, to)
+			if err != nil {
 				return nil, err
 			}
+			x = y
 		}
 		return x, nil
 	})
@@ -151,8 +152,8 @@
 		x := b
 		for k := range l {
 			i := shard.Base(k, h.c.Service.ShardCount)
-			e, err := b.Entry(i)
-			if err != nil || e.Upstream != h.c.Upstream.Name {
+			e, ok := b.Entry(i)
+			if !ok || e.Upstream != h.c.Upstream.Name {
 				continue
 			}
 			if y, _, err := x.Split(k); err == nil {
@@ -168,7 +169,7 @@
 // It is conditional on the home row and on the blocks, so that it can't land
 // after another home or another change has come first.
 func (h *Home) txn(change func(b *shard.Block) (*shard.Block, error)) (*table.Txn, error) {
-	x := &table.Txn{ID: table.TxnID(uuid.NewString()), Checks: []table.Check{{Key: h.c.Key, Version: h.c.Version}}}
+	x := &table.Txn{ID: table.NewTxnID(), Checks: []table.Check{{Key: h.c.Key, Version: h.c.Version}}}
 	for n := range shard.Blocks(h.c.Service.ShardCount) {
 		r, ok := h.c.Directory.Row(route.BlockKey(h.c.Lease.Organisation, h.c.Service.Name, n))
 		if !ok {
@@ -255,7 +256,7 @@
 
 // finish applies and announces the rows of a committed transaction.
 func (h *Home) finish(t *table.Txn) {
-	rows := t.After()
+	rows := t.Rows()
 	h.c.Directory.Apply(rows...)
 	m := h.c.Directory.Map(h.c.Lease.Organisation, h.c.Service.Name)
 	h.mu.Lock()
--- /dev/null
+++ b/internal/home/orders.go
@@ -0,0 +1,54 @@
+package home
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"dandelionrock.example/dandelionrock/order"
+	"dandelionrock.example/dandelionrock/schema"
+)
+
+const (
+	reasonRecordLost    = "order-record-lost"
+	reasonOrderMismatch = "order-id-reused"
+	reasonRecordFull    = "order-record-full"
+)
+
+// forward executes a request, or answers a repeated order from the record of
+// orders.
+func (h *Home) forward(c context.Context, r *schema.ForwardRequest) *schema.ForwardReply {
+	if r.GetOrderId() == "" {
+		return h.stamp(h.run(c, r))
+	}
+	q := order.Request{
+		Account:     r.GetClientAccount(),
+		ID:          r.GetOrderId(),
+		Attempt:     r.GetAttempt(),
+		Fingerprint: order.Fingerprint(r.GetMethod(), r.GetPath(), r.GetKey(), r.GetBody()),
+	}
+	d := h.orders.Begin(time.Now(), q)
+	switch d.Kind {
+	case order.New:
+		y := h.stamp(h.run(c, r))
+		h.orders.Finish(q, y, y.GetOutcome() != schema.Outcome_OUTCOME_NOT_RUN)
+		return y
+	case order.Join:
+		y, err := d.Wait(c)
+		if err != nil {
+			return unknown(reasonDeadline)
+		}
+		return y
+	case order.Replay:
+		return d.Reply
+	case order.Mismatch:
+		return notRun(reasonOrderMismatch, false)
+	case order.Full:
+		return notRun(reasonRecordFull, false)
+	}
+	return unknown(reasonRecordLost)
+}
+
+// replySize returns the memory of a recorded reply in bytes.
+func replySize(y *schema.ForwardReply) int { return proto.Size(y) }
--- a/internal/home/upstream.go
+++ b/internal/home/upstream.go
@@ -14,9 +14,9 @@
 	"sync"
 	"time"
 
+	"dandelionrock.example/dandelionrock/fence"
 	"dandelionrock.example/dandelionrock/internal/header"
 	"dandelionrock.example/dandelionrock/schema"
-	"dandelionrock.example/dandelionrock/shard"
 	"github.com/cockroachdb/errors"
 )
 
@@ -61,13 +61,6 @@
 	transport *http.Transport
 }
 
-// Token states by which authority a request is sent.
-type Token struct {
-	Term  uint64
-	Shard shard.ID
-	Epoch shard.Epoch
-}
-
 // NewUpstream returns an upstream without connections.
 func NewUpstream(o UpstreamOptions) *Upstream {
 	defaultTo(&o.Connections, 4)
@@ -198,7 +191,7 @@
 // Send sends a request at most once and returns its outcome. Permit is called
 // immediately before the request is written; with an error from it nothing is
 // written. Answers that are not whole are never returned.
-func (u *Upstream) Send(c context.Context, q *schema.ForwardRequest, t Token, permit func() error) *schema.ForwardReply {
+func (u *Upstream) Send(c context.Context, q *schema.ForwardRequest, t fence.Token, permit func() error) *schema.ForwardReply {
 	x := &exchange{permit: permit}
 	r, err := u.request(c, x, q, t)
 	if err != nil {
@@ -230,7 +223,7 @@
 }
 
 // request builds the message to the upstream.
-func (u *Upstream) request(c context.Context, x *exchange, q *schema.ForwardRequest, t Token) (*http.Request, error) {
+func (u *Upstream) request(c context.Context, x *exchange, q *schema.ForwardRequest, t fence.Token) (*http.Request, error) {
 	l := &url.URL{Scheme: "http", Host: u.options.Address, Opaque: q.Path}
 	if len(q.Path) > 1 && q.Path[1] == '/' {
 		// An opaque part with two slashes would be taken for a host.
@@ -247,7 +240,11 @@
 		h["User-Agent"] = nil
 	}
 	h[header.RequestID] = []string{q.RequestId}
-	h[header.Term] = []string{strconv.FormatUint(t.Term, 10)}
+	h[header.Key] = []string{q.Key}
+	if q.OrderId != "" {
+		h[header.OrderID] = []string{q.OrderId}
+	}
+	h[header.Term] = []string{t.Term.String()}
 	h[header.Shard] = []string{t.Shard.String()}
 	h[header.Epoch] = []string{strconv.FormatUint(uint64(t.Epoch), 10)}
 	if d, ok := c.Deadline(); ok {
--- a/internal/home/upstream_test.go
+++ b/internal/home/upstream_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"dandelionrock.example/dandelionrock/fence"
 	"dandelionrock.example/dandelionrock/schema"
 )
 
@@ -115,7 +116,7 @@
 			d = 100 * time.Millisecond
 		}
 		c, stop := context.WithTimeout(t.Context(), d)
-		if got := describe(u.Send(c, message("POST", "x"), Token{}, allowed)); got != tc.want {
+		if got := describe(u.Send(c, message("POST", "x"), fence.Token{}, allowed)); got != tc.want {
 			t.Errorf("%s: %s, want %s", tc.name, got, tc.want)
 		}
 		stop()
@@ -138,7 +139,7 @@
 				}()
 				return p, nil
 			}})
-			if r := u.Send(t.Context(), message("POST", ""), Token{}, allowed); r.Outcome != schema.Outcome_OUTCOME_UNKNOWN {
+			if r := u.Send(t.Context(), message("POST", ""), fence.Token{}, allowed); r.Outcome != schema.Outcome_OUTCOME_UNKNOWN {
 				t.Errorf("%d of %d bytes: %s", n, len(a), describe(r))
 			}
 		}
@@ -152,7 +153,7 @@
 	u := NewUpstream(UpstreamOptions{Address: s.Addr().String()})
 	defer u.Close()
 	for _, tc := range []struct{ method, body string }{{"POST", "body"}, {"POST", ""}, {"GET", ""}, {"OPTIONS", ""}, {"DELETE", ""}, {"GET", "body"}} {
-		r := u.Send(t.Context(), message(tc.method, tc.body), Token{Term: 7, Shard: 3, Epoch: 5}, allowed)
+		r := u.Send(t.Context(), message(tc.method, tc.body), fence.Token{Term: 7, Shard: 3, Epoch: 5}, allowed)
 		h := s.last.Load()
 		if describe(r) != "answered ok" || *s.body.Load() != tc.body || h.Method != tc.method || h.RequestURI != "/a%2Fb?c=d" {
 			t.Errorf("%s %q: %s; received %s %s %q", tc.method, tc.body, describe(r), h.Method, h.RequestURI, *s.body.Load())
@@ -171,7 +172,7 @@
 	}
 	q := message("GET", "")
 	q.Path = "//x//y?z"
-	if u.Send(t.Context(), q, Token{}, allowed); s.last.Load().RequestURI != q.Path {
+	if u.Send(t.Context(), q, fence.Token{}, allowed); s.last.Load().RequestURI != q.Path {
 		t.Errorf("received %s, want %s", s.last.Load().RequestURI, q.Path)
 	}
 	if n := s.connections.Load(); n != 1 {
@@ -190,8 +191,8 @@
 			return strings.Replace(whole, "2\r\n\r\nok", "0\r\n\r\n", 1)
 		})
 		u := NewUpstream(UpstreamOptions{Address: s.Addr().String()})
-		first := u.Send(t.Context(), message(m, ""), Token{}, allowed)
-		second := u.Send(t.Context(), message(m, ""), Token{}, allowed)
+		first := u.Send(t.Context(), message(m, ""), fence.Token{}, allowed)
+		second := u.Send(t.Context(), message(m, ""), fence.Token{}, allowed)
 		if describe(first) != "answered" || describe(second) != "unknown upstream-interrupted" || s.requests.Load() != 2 {
 			t.Errorf("%s: %s, %s, %d requests", m, describe(first), describe(second), s.requests.Load())
 		}
@@ -231,7 +232,7 @@
 			d = 50 * time.Millisecond
 		}
 		c, stop := context.WithTimeout(t.Context(), d)
-		if got := describe(tc.u.Send(c, tc.q, Token{}, tc.permit)); got != tc.want {
+		if got := describe(tc.u.Send(c, tc.q, fence.Token{}, tc.permit)); got != tc.want {
 			t.Errorf("%s: %s, want %s", tc.name, got, tc.want)
 		}
 		stop()
@@ -253,7 +254,7 @@
 		if i == 0 {
 			time.AfterFunc(50*time.Millisecond, stop)
 		}
-		if got := describe(u.Send(c, message("POST", "x"), Token{}, allowed)); got != want || s.connections.Load() != int32(i+1) {
+		if got := describe(u.Send(c, message("POST", "x"), fence.Token{}, allowed)); got != want || s.connections.Load() != int32(i+1) {
 			t.Errorf("request %d: %s on connection %d, want %s", i, got, s.connections.Load(), want)
 		}
 		stop()
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 	"google.golang.org/protobuf/proto"
 
 	"dandelionrock.example/dandelionrock/config"
@@ -44,7 +43,7 @@
 	if err != nil {
 		return 0, errors.Mark(err, admin.ErrNotRun)
 	}
-	t := table.Txn{ID: table.TxnID(uuid.NewString()), Puts: []table.Put{r.Put(v)}}
+	t := table.Txn{ID: table.NewTxnID(), Puts: []table.Put{r.Put(v)}}
 	switch err := table.Settle(c, n.store, t); {
 	case err == nil:
 	case errors.Is(err, table.ErrConflict):
@@ -54,7 +53,7 @@
 	default:
 		return 0, errors.Mark(err, admin.ErrNotRun)
 	}
-	rows := t.After()
+	rows := t.Rows()
 	n.events.Record("config-accepted", string(k), event.Uint("version", uint64(rows[0].Version)))
 	n.announce(rows)
 	return uint64(rows[0].Version), nil
--- a/internal/node/beat.go
+++ b/internal/node/beat.go
@@ -226,4 +226,3 @@
 	r.Hears, r.Incarnation = a.Hears, a.Incarnation
 	return nil
 }
-
--- /dev/null
+++ b/internal/node/meter.go
@@ -0,0 +1,67 @@
+package node
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"dandelionrock.example/dandelionrock/schema"
+)
+
+// latencyBuckets are the bounds of the latency histogram.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(500*time.Microsecond, 2, 15)
+
+// meter holds the metrics of requests, so that the request path doesn't look
+// them up by their tags.
+type meter struct {
+	scope tally.Scope
+	mu    sync.RWMutex
+	by    map[meterKey]*requestMeter
+}
+
+type meterKey struct {
+	organisation, service string
+	outcome               schema.Outcome
+}
+
+type requestMeter struct {
+	count   tally.Counter
+	latency tally.Histogram
+}
+
+func newMeter(s tally.Scope) *meter { return &meter{scope: s, by: make(map[meterKey]*requestMeter)} }
+
+// request counts a request of a caller.
+func (m *meter) request(organisation, service string, o schema.Outcome, took time.Duration) {
+	k := meterKey{organisation, service, o}
+	m.mu.RLock()
+	x := m.by[k]
+	m.mu.RUnlock()
+	if x == nil {
+		x = m.add(k)
+	}
+	x.count.Inc(1)
+	x.latency.RecordDuration(took)
+}
+
+func (m *meter) add(k meterKey) *requestMeter {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if x := m.by[k]; x != nil {
+		return x
+	}
+	s := m.scope.Tagged(map[string]string{
+		"organisation": k.organisation, "service": k.service, "outcome": outcomeName(k.outcome),
+	})
+	x := &requestMeter{count: s.Counter("requests"), latency: s.Histogram("request_latency", latencyBuckets)}
+	m.by[k] = x
+	return x
+}
+
+// outcomeName returns the kebab-case name of an outcome.
+func outcomeName(o schema.Outcome) string {
+	s := strings.TrimPrefix(o.String(), "OUTCOME_")
+	return strings.ToLower(strings.ReplaceAll(s, "_", "-"))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,7 @@
 	"dandelionrock.example/dandelionrock/config"
 	"dandelionrock.example/dandelionrock/event"
 	"dandelionrock.example/dandelionrock/internal/clock"
+	"dandelionrock.example/dandelionrock/internal/edge"
 	"dandelionrock.example/dandelionrock/internal/home"
 	"dandelionrock.example/dandelionrock/internal/relay"
 	"dandelionrock.example/dandelionrock/peer"
@@ -28,7 +30,9 @@
 	Settings *config.Settings
 	Store    table.Store
 	Log      zerolog.Logger
-	Scope    tally.Scope
+	// Scope receives the metrics, which Metrics serves.
+	Scope   tally.Scope
+	Metrics http.Handler
 }
 
 // Node is one instance. Use New.
@@ -38,6 +42,8 @@
 	store table.Store
 	log   zerolog.Logger
 	scope tally.Scope
+	// metrics serves the metrics page.
+	metrics http.Handler
 
 	clock  *event.Clock
 	events *event.Log
@@ -58,6 +64,9 @@
 	// listed is when the first list of instances was read, 0 before.
 	listed atomic.Int64
 
+	meter *meter
+	entry *edge.Entry
+	edge  *edge.Handler
 	calls calls
 	takes takes
 	views views
@@ -85,18 +94,20 @@
 			RPCAddress:    o.Settings.RPCAddress,
 			HTTPAddress:   o.Settings.HTTPAddress,
 		},
-		store:  o.Store,
-		log:    o.Log,
-		scope:  o.Scope,
-		clock:  k,
-		events: event.New(o.Settings.InstanceID, eventCapacity, k),
-		dir:    route.New(config.Parse),
-		life:   x,
-		stop:   f,
+		store:   o.Store,
+		log:     o.Log,
+		scope:   o.Scope,
+		metrics: o.Metrics,
+		clock:   k,
+		events:  event.New(o.Settings.InstanceID, eventCapacity, k),
+		dir:     route.New(config.Parse),
+		life:    x,
+		stop:    f,
 	}
 	n.peers = peer.New(peer.Config{Self: n.self, SuspectAfter: n.s.SuspectAfter})
 	n.pool = relay.NewPool(relay.Options{Dial: n.dialer(), Connections: connections})
 	n.rpc = relay.NewServer(relay.Options{})
+	n.meter = newMeter(o.Scope)
 	n.homes.Store(&map[table.Key]*home.Home{})
 	n.learn(n.self)
 	return n
--- a/internal/node/plan.go
+++ b/internal/node/plan.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 	"google.golang.org/protobuf/proto"
 
 	"dandelionrock.example/dandelionrock/config"
@@ -19,8 +18,6 @@
 	"dandelionrock.example/dandelionrock/table"
 )
 
-type shardMove = shard.Move
-
 const (
 	// planInterval is how often the planner of a service looks at it.
 	planInterval = 200 * time.Millisecond
@@ -82,7 +79,7 @@
 }
 
 // targets proposes new owners for the shards of an upstream.
-func (n *Node) targets(organisation, service, upstream string) ([]shardMove, error) {
+func (n *Node) targets(organisation, service, upstream string) ([]shard.Move, error) {
 	o := n.dir.Organisation(organisation)
 	if o == nil || o.Service(service) == nil {
 		return nil, errors.Newf("service %s/%s is not configured", organisation, service)
@@ -103,7 +100,7 @@
 		n.events.Record("assignment-failed", o.Name+"/"+s.Name, event.Err(err))
 		return
 	}
-	t := table.Txn{ID: table.TxnID(uuid.NewString())}
+	t := table.Txn{ID: table.NewTxnID()}
 	for _, b := range l {
 		v, err := proto.Marshal(b.Row())
 		if err != nil {
@@ -119,11 +116,11 @@
 		return
 	}
 	n.events.Record("assignment-committed", o.Name+"/"+s.Name, event.Uint("shards", s.ShardCount))
-	n.announce(t.After())
+	n.announce(t.Rows())
 }
 
 // propose asks the homes of the present owners to move shards.
-func (n *Node) propose(organisation, service string, l []shardMove) {
+func (n *Node) propose(organisation, service string, l []shard.Move) {
 	by := make(map[string]*schema.MoveRequest)
 	for _, m := range l {
 		r := by[m.From]
--- /dev/null
+++ b/internal/node/run.go
@@ -0,0 +1,130 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	kratos "github.com/go-kratos/kratos/v2"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"dandelionrock.example/dandelionrock/event"
+	"dandelionrock.example/dandelionrock/internal/admin"
+	"dandelionrock.example/dandelionrock/internal/edge"
+)
+
+// Run serves until c ends, then leaves: it becomes not ready, hands its homes
+// over, finishes the requests in flight and returns nil. It returns an error if
+// an address can't be listened on or the drain time-out passes first.
+func (n *Node) Run(c context.Context) error {
+	l, err := net.Listen("tcp", n.s.RPCAddress)
+	if err != nil {
+		return err
+	}
+	w, err := net.Listen("tcp", n.s.HTTPAddress)
+	if err != nil {
+		_ = l.Close()
+		return err
+	}
+	if err := n.register(); err != nil {
+		return err
+	}
+	n.work.Go(func() { _ = n.rpc.Serve(l) })
+	n.startDuties()
+	n.events.Record("instance-started", n.self.ID, event.String("incarnation", n.self.Incarnation))
+	a := kratos.New(
+		kratos.Name("dandelionrock"),
+		kratos.ID(n.self.ID),
+		// The context ends the instance. SIGKILL can't be caught, so that kratos
+		// gets no signal; an empty list would mean all of them.
+		kratos.Signal(syscall.SIGKILL),
+		kratos.Server(n.httpServer(w)),
+		kratos.StopTimeout(n.s.DrainTimeout),
+	)
+	failed := make(chan error, 1)
+	go func() { failed <- a.Run() }()
+	select {
+	case err = <-failed:
+		err = errors.Wrap(errors.CombineErrors(err, errors.New("server has ended")), "HTTP")
+	case <-c.Done():
+		err = n.shutDown(a, failed)
+	}
+	return err
+}
+
+// register publishes the calls that other instances make.
+func (n *Node) register() error {
+	for _, r := range []any{&Peer{n}, &Route{n}, &Home{n}} {
+		if err := n.rpc.Register(r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startDuties starts one goroutine for each duty.
+func (n *Node) startDuties() {
+	n.takes.init()
+	n.work.Go(n.pollLoop)
+	n.work.Go(n.takeLoop)
+	n.work.Go(n.listLoop)
+	n.every(tickInterval, n.tick)
+	n.every(n.s.HeartbeatInterval, n.beat)
+	n.every(planInterval, n.plan)
+}
+
+// listLoop reads the list of instances at once and then at the poll interval.
+func (n *Node) listLoop() {
+	n.list()
+	n.every(n.s.Platform.PollInterval, n.list)
+}
+
+// shutDown leaves, and ends the HTTP server before the RPC server, because the
+// requests of the former may need the latter.
+func (n *Node) shutDown(a *kratos.App, failed <-chan error) error {
+	c, f := context.WithTimeout(context.Background(), n.s.DrainTimeout)
+	defer f()
+	n.leave(c)
+	err := a.Stop()
+	if e := <-failed; err == nil {
+		err = e
+	}
+	for _, x := range []func() error{n.edge.Close, n.entry.Close} {
+		if e := x(); err == nil {
+			err = e
+		}
+	}
+	if e := n.rpc.Close(); err == nil {
+		err = e
+	}
+	n.events.Record("instance-stopped", n.self.ID)
+	n.stop()
+	n.work.Wait()
+	if e := n.pool.Close(); err == nil {
+		err = e
+	}
+	return err
+}
+
+// httpServer returns the server for callers and operators.
+func (n *Node) httpServer(l net.Listener) *khttp.Server {
+	s := edge.NewServer(l, n.newEdge())
+	s.HandlePrefix("/operate/", admin.New(admin.Handler{
+		Operators: n.s.Operators, Submitter: n, Reporter: n, Timeline: n.events,
+	}))
+	s.Handle("/metrics", n.metrics)
+	s.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { health(w, true) })
+	s.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) { health(w, n.ready()) })
+	return s
+}
+
+// health answers 200 or 503.
+func health(w http.ResponseWriter, ok bool) {
+	if !ok {
+		http.Error(w, "not-ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ok\n"))
+}
--- a/internal/node/take.go
+++ b/internal/node/take.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 	"google.golang.org/protobuf/proto"
 
 	"dandelionrock.example/dandelionrock/config"
@@ -18,6 +17,7 @@
 	"dandelionrock.example/dandelionrock/peer"
 	"dandelionrock.example/dandelionrock/route"
 	"dandelionrock.example/dandelionrock/schema"
+	"dandelionrock.example/dandelionrock/shard"
 	"dandelionrock.example/dandelionrock/table"
 )
 
@@ -238,18 +238,19 @@
 
 // take commits the next term of a home for this instance and starts it.
 func (n *Node) take(x candidate) {
-	var hold time.Duration
+	var old route.Home
 	if x.ok && !x.holder.Released && !x.stopped {
-		hold = x.holder.Hold
+		old = x.holder
 	}
-	stated := lease.StatedHold(x.service.HoldTime, hold)
 	taken := time.Now()
 	m := &schema.HomeRow{
-		InstanceId:  n.self.ID,
-		Incarnation: n.self.Incarnation,
-		Term:        uint64(x.holder.Term) + 1,
-		HoldMs:      stated.Milliseconds(),
-		TakenMs:     taken.UnixMilli(),
+		InstanceId:   n.self.ID,
+		Incarnation:  n.self.Incarnation,
+		Term:         uint64(x.holder.Term) + 1,
+		TakenMs:      taken.UnixMilli(),
+		HoldMs:       lease.StatedHold(x.service.HoldTime, old.Hold).Milliseconds(),
+		TtlMs:        max(x.service.GrantTTL, old.TTL).Milliseconds(),
+		MaxRequestMs: max(x.service.MaxTimeout, old.MaxRequest).Milliseconds(),
 	}
 	v, err := proto.Marshal(m)
 	if err != nil {
@@ -264,7 +265,7 @@
 		return
 	}
 	before := now()
-	t := table.Txn{ID: table.TxnID(uuid.NewString()), Puts: []table.Put{r.Put(v)}}
+	t := table.Txn{ID: table.NewTxnID(), Puts: []table.Put{r.Put(v)}}
 	c, f := context.WithTimeout(n.life, takeTimeout)
 	defer f()
 	if err := table.Settle(c, n.store, t); err != nil {
@@ -273,11 +274,12 @@
 	}
 	l := lease.Config{
 		Organisation: x.org.Name, Service: x.service.Name, Upstream: x.upstream.Name, Instance: n.self.ID,
-		Term: fence.Term(m.Term), Hold: x.service.HoldTime, PredecessorHold: hold,
+		Term: fence.Term(m.Term), Hold: x.service.HoldTime, PredecessorHold: old.Hold,
+		PredecessorTTL: old.TTL, PredecessorMaxRequest: old.MaxRequest,
 		TTL: x.service.GrantTTL, MaxRequest: x.service.MaxTimeout, Drift: clock.DefaultDrift,
 		Fencing: x.upstream.Fencing, CommittedAt: now(), ConfirmedAt: before,
 	}
-	rows := t.After()
+	rows := t.Rows()
 	n.start(x, l, rows[0], taken)
 	n.takes.settled(x.key)
 	n.announce(rows)
@@ -301,11 +303,17 @@
 		Key: x.key, Version: r.Version, Taken: taken, Lease: l,
 		Service: x.service, Upstream: x.upstream, Instance: n.self.ID,
 		Directory: n.dir, Store: n.store,
-		Carrier:  n.carrier(x),
+		Granter: home.NewGrantClient(x.upstream.Address),
+		Sender: home.NewUpstream(home.UpstreamOptions{
+			Address: x.upstream.Address, Connections: x.upstream.Connections - 1,
+			MaxAnswer: int64(x.service.MaxAnswer),
+		}),
 		Announce: n.announce,
-		Targets:  func() ([]shardMove, error) { return n.targets(x.org.Name, x.service.Name, x.upstream.Name) },
-		Weight:   func(a string) int { return n.weight(x.org.Name, a) },
-		Events:   n.events, Now: now,
+		Targets: func() ([]shard.Move, error) {
+			return n.targets(x.org.Name, x.service.Name, x.upstream.Name)
+		},
+		Weight: func(a string) int { return n.weight(x.org.Name, a) },
+		Events: n.events, Now: now,
 	})
 	n.setHome(x.key, h)
 	n.log.Info().Str("home", string(x.key)).Uint64("term", uint64(l.Term)).Msg("home taken")
--- a/route/build.go
+++ b/route/build.go
@@ -109,6 +109,8 @@
 		Incarnation: m.GetIncarnation(),
 		Term:        Term(m.GetTerm()),
 		Hold:        time.Duration(m.GetHoldMs()) * time.Millisecond,
+		TTL:         time.Duration(m.GetTtlMs()) * time.Millisecond,
+		MaxRequest:  time.Duration(m.GetMaxRequestMs()) * time.Millisecond,
 		Released:    m.GetReleased(),
 		Taken:       time.UnixMilli(m.GetTakenMs()),
 		Version:     r.Version,
--- a/route/route.go
+++ b/route/route.go
@@ -63,7 +63,10 @@
 	Incarnation string
 	Term        Term
 	Hold        time.Duration
-	Released    bool
+	// TTL and MaxRequest are the time to live of grants and the longest request
+	// of the holder.
+	TTL, MaxRequest time.Duration
+	Released        bool
 	// Taken is the time of the commit by the wall clock of the holder.
 	Taken time.Time
 	// Version is that of the home row.
