Set headers of a message from one allocation

Cause: each header of the router cost an allocation of its own. Change: header.Set and header.Copy share one slice for the values.

--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -141,15 +141,11 @@
 // write answers a request with its outcome.
 func write(w http.ResponseWriter, method string, m *schema.ForwardReply) {
 	a := w.Header()
+	epoch := ""
 	if m.Upstream != "" {
-		a[header.Upstream], a[header.Epoch] = []string{m.Upstream}, []string{strconv.FormatUint(m.Epoch, 10)}
-	}
-	if m.Home != "" {
-		a[header.Home] = []string{m.Home}
-	}
-	if m.Reason != "" {
-		a[header.Reason] = []string{m.Reason}
+		epoch = strconv.FormatUint(m.Epoch, 10)
 	}
+	header.Set(a, header.Upstream, m.Upstream, header.Epoch, epoch, header.Home, m.Home, header.Reason, m.Reason)
 	switch {
 	case m.Outcome == schema.Outcome_OUTCOME_ANSWERED && m.Status >= 200 && m.Status <= 999:
 		a[header.Outcome] = answered
--- a/internal/header/header.go
+++ b/internal/header/header.go
@@ -76,10 +76,28 @@
 // Copy adds the fields of an answer to h, except those of the router and those
 // that concern one connection. Content-Length is included if length is true.
 func Copy(h http.Header, fields []*schema.HeaderField, length bool) {
-	for _, f := range fields {
+	values := make([]string, len(fields))
+	for i, f := range fields {
 		k := http.CanonicalHeaderKey(f.Name)
 		if !dropped(k) || k == "Content-Length" && length {
-			h[k] = append(h[k], f.Value)
+			if old := h[k]; old != nil {
+				h[k] = append(old, f.Value)
+				continue
+			}
+			values[i] = f.Value
+			h[k] = values[i : i+1 : i+1]
+		}
+	}
+}
+
+// Set sets headers from pairs of a name in canonical form and a value. Empty
+// values are left out.
+func Set(h http.Header, pairs ...string) {
+	values := make([]string, len(pairs)/2)
+	for i := range values {
+		if v := pairs[2*i+1]; v != "" {
+			values[i] = v
+			h[pairs[2*i]] = values[i : i+1 : i+1]
 		}
 	}
 }
--- a/internal/home/upstream.go
+++ b/internal/home/upstream.go
@@ -246,13 +246,12 @@
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = nil
 	}
-	h[header.RequestID] = []string{q.RequestId}
-	h[header.Term] = []string{strconv.FormatUint(t.Term, 10)}
-	h[header.Shard] = []string{t.Shard.String()}
-	h[header.Epoch] = []string{strconv.FormatUint(uint64(t.Epoch), 10)}
+	timeout := ""
 	if d, ok := c.Deadline(); ok {
-		h[header.Timeout] = []string{max(time.Until(d), time.Microsecond).Round(time.Microsecond).String()}
+		timeout = max(time.Until(d), time.Microsecond).Round(time.Microsecond).String()
 	}
+	header.Set(h, header.RequestID, q.RequestId, header.Term, strconv.FormatUint(t.Term, 10), header.Shard, t.Shard.String(),
+		header.Epoch, strconv.FormatUint(uint64(t.Epoch), 10), header.Timeout, timeout)
 	c = httptrace.WithClientTrace(c, &httptrace.ClientTrace{GotConn: x.obtain})
 	r := (&http.Request{Method: q.Method, URL: l, Host: l.Host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}).WithContext(c)
 	setBody(r, q.Body)
