--- a/internal/home/upstream.go
+++ b/internal/home/upstream.go
@@ -239,17 +239,13 @@
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = nil
 	}
-	h[header.RequestID] = []string{q.RequestId}
-	h[header.Key] = []string{q.Key}
-	if q.OrderId != "" {
-		h[header.OrderID] = []string{q.OrderId}
-	}
-	h[header.Term] = []string{t.Term.String()}
-	h[header.Shard] = []string{t.Shard.String()}
-	h[header.Epoch] = []string{strconv.FormatUint(uint64(t.Epoch), 10)}
+	timeout := ""
 	if d, ok := c.Deadline(); ok {
-		h[header.Timeout] = []string{max(time.Until(d), time.Microsecond).Round(time.Microsecond).String()}
+		timeout = max(time.Until(d), time.Microsecond).Round(time.Microsecond).String()
 	}
+	header.Set(h, header.RequestID, q.RequestId, header.Key, q.Key, header.OrderID, q.OrderId,
+		header.Term, t.Term.String(), header.Shard, t.Shard.String(),
+		header.Epoch, strconv.FormatUint(uint64(t.Epoch), 10), header.Timeout, timeout)
 	c = httptrace.WithClientTrace(c, &httptrace.ClientTrace{GotConn: x.obtain})
 	r := (&http.Request{Method: q.Method, URL: l, Host: l.Host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}).WithContext(c)
 	setBody(r, q.Body)
