Balance homes and load, restart homes on a changed configuration

Cause: an instance that joined got no homes, a hot key stayed where it was, a changed address or hold time took effect at the next loss only, and a shard of an upstream that the configuration no longer listed was never moved. Only one instance of each region polls the table every interval. Homes confirm themselves four times in a hold time. A takeover that failed waits 250 ms, since a stale directory made an instance read the table 10,000 times a second. Hot keys under load are not measured yet.

--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -87,7 +87,8 @@
 	// lease, flights, moves and splits are guarded by mu.
 	lease   *lease.Home
 	flights map[shard.ID]*flight
-	// moves holds the wanted owner of each shard that shall move.
+	// moves holds the wanted owner of each shard that shall move, or
+	// mergeTarget.
 	moves  map[shard.ID]string
 	splits map[shard.KeyHash]bool
 	// synced is whether the shards were read by a read that was sent after the
@@ -95,6 +96,9 @@
 	synced bool
 	// leaving is when the upstream was first seen draining, 0 if it is not.
 	leaving clock.Time
+	// evicted is whether the upstream shall lose its shards though it doesn't
+	// drain.
+	evicted bool
 	// pending is a transaction whose outcome is not known yet.
 	pending *table.Txn
 
@@ -186,6 +190,8 @@
 	defer f()
 	a, err := h.c.Granter.Grant(c, m)
 	if err != nil {
+		// The shards of an upstream that doesn't answer have to be known, too.
+		signal(h.confirmNow)
 		return
 	}
 	h.mu.Lock()
@@ -208,7 +214,7 @@
 // watchDrain records when the upstream began to drain. The caller holds mu.
 func (h *Home) watchDrain(now clock.Time) {
 	switch {
-	case !h.lease.Draining():
+	case !h.lease.Draining() && !h.evicted:
 		h.leaving = 0
 	case h.leaving == 0:
 		h.leaving = now
@@ -220,8 +226,12 @@
 // a failing store is not flooded.
 const confirmPause = 50 * time.Millisecond
 
+// confirmations is the number of reads of the home row within one hold time, so
+// that some may fail.
+const confirmations = 4
+
 func (h *Home) confirmLoop() {
-	for h.wait(h.confirmNow, time.Hour) {
+	for h.wait(h.confirmNow, h.c.Lease.Hold/confirmations) {
 		if h.needsConfirm() && !h.confirm() && h.wait(nil, confirmPause) {
 			signal(h.confirmNow)
 		}
@@ -231,7 +241,11 @@
 func (h *Home) needsConfirm() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.lease.Superseded() && (h.lease.NeedsConfirm() || !h.synced)
+	if h.lease.Superseded() {
+		return false
+	}
+	due := h.lease.State(h.c.Now()).ConfirmedFor < h.c.Lease.Hold*(confirmations-1)/confirmations
+	return due || h.lease.NeedsConfirm() || !h.synced
 }
 
 // confirm reads the home row and the shards in one read and reports whether
@@ -324,6 +338,21 @@
 	return s, q.InFlight, q.Queued
 }
 
+// Configuration returns the configuration that the home runs with.
+func (h *Home) Configuration() (*config.Service, *config.Upstream) {
+	return h.c.Service, h.c.Upstream
+}
+
+// Evict makes the home move all shards away from the upstream.
+func (h *Home) Evict() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.evicted = true
+	if h.leaving == 0 {
+		h.leaving = h.c.Now()
+	}
+}
+
 // Key returns the key of the home row.
 func (h *Home) Key() table.Key { return h.c.Key }
 
--- a/internal/home/move.go
+++ b/internal/home/move.go
@@ -26,8 +26,9 @@
 	storePause = 250 * time.Millisecond
 )
 
-// Move asks for shards to be moved to other upstreams, and for hot keys to get
-// a shard of their own. Shards that the upstream does not own are ignored.
+// Move asks for shards to be moved to other upstreams, for hot keys to get a
+// shard of their own, and for such shards to be given up. Shards that the
+// upstream does not own are ignored.
 func (h *Home) Move(m *schema.MoveRequest) {
 	h.mu.Lock()
 	for _, t := range m.GetTargets() {
@@ -38,6 +39,9 @@
 	for _, k := range m.GetSplitKeys() {
 		h.splits[shard.Hash(h.c.Service.Name, k)] = true
 	}
+	for _, k := range m.GetMergeHashes() {
+		h.planMerge(shard.KeyHash(k))
+	}
 	h.mu.Unlock()
 	signal(h.moveNow)
 }
@@ -72,7 +76,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, m := range l {
-		if h.moves[m.Shard] == "" {
+		if _, busy := h.moves[m.Shard]; !busy {
 			h.moves[m.Shard] = m.To
 		}
 	}
@@ -128,7 +132,7 @@
 			if !ok || e.Upstream != h.c.Upstream.Name {
 				continue
 			}
-			y, err := x.Move(i, to)
+			y, err := h.change(x, i, to)
 			if err != nil {
 				return nil, err
 			}
@@ -139,30 +143,18 @@
 	h.commit(t, err)
 }
 
-// commitSplits gives hot keys a shard of their own at their present owner.
-func (h *Home) commitSplits() {
-	h.mu.Lock()
-	l := h.splits
-	h.splits = make(map[shard.KeyHash]bool)
-	h.mu.Unlock()
-	if len(l) == 0 {
-		return
+// change returns b with a shard moved, or merged into its base shard if that is
+// what it was released for.
+func (h *Home) change(b *shard.Block, i shard.ID, to string) (*shard.Block, error) {
+	if to != mergeTarget {
+		return b.Move(i, to)
 	}
-	t, err := h.txn(func(b *shard.Block) (*shard.Block, error) {
-		x := b
-		for k := range l {
-			i := shard.Base(k, h.c.Service.ShardCount)
-			e, ok := b.Entry(i)
-			if !ok || e.Upstream != h.c.Upstream.Name {
-				continue
-			}
-			if y, _, err := x.Split(k); err == nil {
-				x = y
-			}
+	for _, o := range b.Overrides() {
+		if o.ID == i {
+			return b.Merge(o.Hash)
 		}
-		return x, nil
-	})
-	h.commit(t, err)
+	}
+	return nil, shard.ErrNoShard
 }
 
 // txn builds a transaction that applies change to every block of the service.
@@ -263,13 +255,14 @@
 	h.pending = nil
 	n := 0
 	for i := range h.moves {
-		if e, ok := m.Entry(i); ok && e.Upstream != h.c.Upstream.Name {
+		if e, ok := m.Entry(i); !ok || e.Upstream != h.c.Upstream.Name {
 			h.lease.Remove(i)
 			delete(h.moves, i)
 			n++
 		}
 	}
 	h.mu.Unlock()
+	h.holdSplits(m)
 	h.c.Announce(rows)
 	h.Sync()
 	h.c.Events.Record("move-committed", string(h.c.Key), event.Int("shards", n), event.String("transaction", string(t.ID)))
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -46,14 +46,13 @@
 	if err != nil {
 		return
 	}
-	o := n.dir.Organisation(x.Organisation)
-	if o == nil || o.Service(x.Service) == nil || o.Service(x.Service).Upstream(x.Upstream) == nil {
+	_, u := n.configured(x)
+	if u == nil {
 		return
 	}
-	u := o.Service(x.Service).Upstream(x.Upstream)
 	for _, p := range peer.Successor(string(k), place(u), n.peers.Live()) {
 		y, f := context.WithTimeout(c, handoverTimeout)
-		err = n.pool.Call(y, p.RPCAddress, "Home.Handover", &schema.HandoverRequest{Key: string(k), Version: uint64(h.Version())}, &schema.Empty{})
+		err = n.callHandover(y, p.ID, k, h.Version())
 		f()
 		if err == nil {
 			n.events.Record("home-handed-over", string(k), event.String("successor", p.ID))
@@ -63,6 +62,10 @@
 	n.events.Record("handover-failed", string(k), event.Err(err))
 }
 
+func handoverRequest(k table.Key, v table.Version) *schema.HandoverRequest {
+	return &schema.HandoverRequest{Key: string(k), Version: uint64(v)}
+}
+
 // takeHandover takes over a home whose holder acts no more in the given version
 // of the home row.
 func (n *Node) takeHandover(k table.Key, v table.Version) error {
@@ -73,18 +76,19 @@
 	if n.leaving.Load() {
 		return errors.New("instance is leaving")
 	}
-	o := n.dir.Organisation(x.Organisation)
-	if o == nil || o.Service(x.Service) == nil || o.Service(x.Service).Upstream(x.Upstream) == nil {
+	s, u := n.configured(x)
+	if u == nil {
 		return errors.Newf("upstream of %s is not configured", k)
 	}
-	s := o.Service(x.Service)
-	t := candidate{key: k, org: o, service: s, upstream: s.Upstream(x.Upstream), stopped: true}
+	t := candidate{key: k, organisation: x.Organisation, service: s, upstream: u, stopped: true}
 	t.holder, t.ok = n.dir.Home(x.Organisation, x.Service, x.Upstream)
 	if t.holder.Version != v {
 		return errors.Newf("row %s has version %d, not %d", k, t.holder.Version, v)
 	}
-	if !n.takes.begin(k) {
-		return errors.Newf("%s can't be taken over now", k)
+	c, f := context.WithTimeout(n.life, handoverTimeout)
+	defer f()
+	if err := n.takes.await(c, k); err != nil {
+		return errors.Wrapf(err, "takeover of %s", k)
 	}
 	defer n.takes.end(k)
 	n.take(t)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"dandelionrock.example/dandelionrock/internal/relay"
 	"dandelionrock.example/dandelionrock/peer"
 	"dandelionrock.example/dandelionrock/route"
+	"dandelionrock.example/dandelionrock/shard"
 	"dandelionrock.example/dandelionrock/table"
 )
 
@@ -70,6 +71,8 @@
 	calls calls
 	takes takes
 	views views
+	// balancers belongs to the goroutine that balances; by "organisation/service".
+	balancers map[string]*shard.Balancer
 
 	mu sync.Mutex
 	// homes holds the homes that run, by the key of the home row. The map is
@@ -94,20 +97,22 @@
 			RPCAddress:    o.Settings.RPCAddress,
 			HTTPAddress:   o.Settings.HTTPAddress,
 		},
-		store:   o.Store,
-		log:     o.Log,
-		scope:   o.Scope,
-		metrics: o.Metrics,
-		clock:   k,
-		events:  event.New(o.Settings.InstanceID, eventCapacity, k),
-		dir:     route.New(config.Parse),
-		life:    x,
-		stop:    f,
+		store:     o.Store,
+		log:       o.Log,
+		scope:     o.Scope,
+		metrics:   o.Metrics,
+		clock:     k,
+		events:    event.New(o.Settings.InstanceID, eventCapacity, k),
+		dir:       route.New(config.Parse),
+		life:      x,
+		balancers: make(map[string]*shard.Balancer),
+		stop:      f,
 	}
 	n.peers = peer.New(peer.Config{Self: n.self, SuspectAfter: n.s.SuspectAfter})
 	n.pool = relay.NewPool(relay.Options{Dial: n.dialer(), Connections: connections})
 	n.rpc = relay.NewServer(relay.Options{})
 	n.meter = newMeter(o.Scope)
+	n.takes.init()
 	n.homes.Store(&map[table.Key]*home.Home{})
 	n.learn(n.self)
 	return n
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -66,13 +66,14 @@
 
 // startDuties starts one goroutine for each duty.
 func (n *Node) startDuties() {
-	n.takes.init()
 	n.work.Go(n.pollLoop)
 	n.work.Go(n.takeLoop)
 	n.work.Go(n.listLoop)
 	n.every(tickInterval, n.tick)
 	n.every(n.s.HeartbeatInterval, n.beat)
 	n.every(planInterval, n.plan)
+	n.every(balanceInterval, n.balance)
+	n.every(keepInterval, n.keep)
 }
 
 // listLoop reads the list of instances at once and then at the poll interval.
--- a/internal/node/spread.go
+++ b/internal/node/spread.go
@@ -22,6 +22,9 @@
 	// maxPollBackOff bounds the pause between polls of a store that fails, so
 	// that its return is noticed soon and causes no burst.
 	maxPollBackOff = 5 * time.Second
+	// rarePolls is how many times longer the instances that are not the reader
+	// of their region pause between polls.
+	rarePolls = 8
 	// announceTimeout bounds the announcement to one instance. What it misses,
 	// it pulls.
 	announceTimeout = time.Second
@@ -37,6 +40,7 @@
 			n.log.Warn().Err(err).Msg("table service can't be read")
 		} else {
 			p = n.s.Platform.PollInterval
+			d = n.pollPause()
 		}
 		// The jitter keeps the instances from reading in step.
 		d = d*3/4 + rand.N(d/2)
@@ -48,6 +52,23 @@
 	}
 }
 
+// pollPause returns the pause between two polls. One instance of each region
+// polls at the interval of the settings, the others rarely: they get rows by
+// announcements and pulls, and the load on the store stays small.
+func (n *Node) pollPause() time.Duration {
+	var l []peer.Instance
+	for _, p := range n.peers.Live() {
+		if p.Region == n.self.Region {
+			l = append(l, p)
+		}
+	}
+	d := n.s.Platform.PollInterval
+	if p, ok := peer.First("reader/"+n.self.Region, l); ok && p.ID != n.self.ID {
+		return rarePolls * d
+	}
+	return d
+}
+
 // poll reads all rows. The read also confirms the terms of the homes that run
 // here.
 func (n *Node) poll() error {
--- a/internal/node/take.go
+++ b/internal/node/take.go
@@ -33,6 +33,14 @@
 	takeTimeout = 3 * time.Second
 	// probeTimeout bounds the question whether others hear a suspect.
 	probeTimeout = 150 * time.Millisecond
+	// takePause separates the takeovers of one home, so that a failing store
+	// isn't flooded.
+	takePause = 250 * time.Millisecond
+	// probePause separates two probes for one home. The others may hear the last
+	// heartbeat of a lost instance slightly later.
+	probePause = 50 * time.Millisecond
+	// awaitPoll is how often a handover looks whether it may start.
+	awaitPoll = 5 * time.Millisecond
 	// maxTakes bounds the takeovers at a time, and thereby the load on the
 	// store when many homes are lost together.
 	maxTakes = 16
@@ -74,6 +82,13 @@
 	return now().Sub(w) >= time.Duration(rank)*rankDelay
 }
 
+// putOff puts off the next takeover of the home.
+func (t *takes) putOff(k table.Key, d time.Duration) {
+	t.mu.Lock()
+	t.wanted[k] = now().Add(d)
+	t.mu.Unlock()
+}
+
 func (t *takes) settled(k table.Key) {
 	t.mu.Lock()
 	delete(t.wanted, k)
@@ -91,6 +106,18 @@
 	return true
 }
 
+// await waits until a takeover of the home may start. It returns the error of c.
+func (t *takes) await(c context.Context, k table.Key) error {
+	for !t.begin(k) {
+		select {
+		case <-c.Done():
+			return c.Err()
+		case <-time.After(awaitPoll):
+		}
+	}
+	return nil
+}
+
 func (t *takes) end(k table.Key) {
 	t.mu.Lock()
 	delete(t.running, k)
@@ -140,10 +167,10 @@
 
 // candidate is a home that may be taken over.
 type candidate struct {
-	key      table.Key
-	org      *config.Organisation
-	service  *config.Service
-	upstream *config.Upstream
+	key          table.Key
+	organisation string
+	service      *config.Service
+	upstream     *config.Upstream
 	// holder is the present holder; ok is whether there is one.
 	holder route.Home
 	ok     bool
@@ -157,14 +184,40 @@
 	for _, o := range n.dir.Organisations() {
 		for _, s := range o.Services {
 			for _, u := range s.Upstreams {
-				x := candidate{key: route.HomeKey(o.Name, s.Name, u.Name), org: o, service: s, upstream: u}
+				x := candidate{key: route.HomeKey(o.Name, s.Name, u.Name), organisation: o.Name, service: s, upstream: u}
 				x.holder, x.ok = n.dir.Home(o.Name, s.Name, u.Name)
 				n.consider(x, live)
 			}
+			for _, x := range n.orphans(o, s) {
+				n.consider(x, live)
+			}
 		}
 	}
 }
 
+// orphans returns the homes of upstreams that own shards though the
+// configuration no longer lists them. Their addresses are not known, so that
+// their shards move once all grants have expired.
+func (n *Node) orphans(o *config.Organisation, s *config.Service) []candidate {
+	m := n.dir.Map(o.Name, s.Name)
+	if m == nil {
+		return nil
+	}
+	var l []candidate
+	seen := map[string]bool{}
+	m.All(func(_ shard.ID, e shard.Entry) bool {
+		if !seen[e.Upstream] && s.Upstream(e.Upstream) == nil {
+			u := &config.Upstream{Name: e.Upstream, Slots: 1, Connections: 2, Fencing: config.FencingChecked}
+			x := candidate{key: route.HomeKey(o.Name, s.Name, e.Upstream), organisation: o.Name, service: s, upstream: u}
+			x.holder, x.ok = n.dir.Home(o.Name, s.Name, e.Upstream)
+			l = append(l, x)
+		}
+		seen[e.Upstream] = true
+		return true
+	})
+	return l
+}
+
 // consider takes the home over if its holder doesn't run and this instance is
 // the successor.
 func (n *Node) consider(x candidate, live []peer.Instance) {
@@ -184,6 +237,7 @@
 	n.work.Go(func() {
 		defer n.takes.end(x.key)
 		if x.ok && !x.holder.Released && !n.confirmed(x.holder) {
+			n.takes.putOff(x.key, probePause)
 			return
 		}
 		n.take(x)
@@ -273,7 +327,7 @@
 		return
 	}
 	l := lease.Config{
-		Organisation: x.org.Name, Service: x.service.Name, Upstream: x.upstream.Name, Instance: n.self.ID,
+		Organisation: x.organisation, Service: x.service.Name, Upstream: x.upstream.Name, Instance: n.self.ID,
 		Term: fence.Term(m.Term), Hold: x.service.HoldTime, PredecessorHold: old.Hold,
 		PredecessorTTL: old.TTL, PredecessorMaxRequest: old.MaxRequest,
 		TTL: x.service.GrantTTL, MaxRequest: x.service.MaxTimeout, Drift: clock.DefaultDrift,
@@ -289,6 +343,7 @@
 // another instance was first.
 func (n *Node) takeFailed(c context.Context, x candidate, err error) {
 	n.events.Record("takeover-failed", string(x.key), event.Err(err))
+	n.takes.putOff(x.key, takePause)
 	if !errors.Is(err, table.ErrConflict) {
 		return
 	}
@@ -310,9 +365,9 @@
 		}),
 		Announce: n.announce,
 		Targets: func() ([]shard.Move, error) {
-			return n.targets(x.org.Name, x.service.Name, x.upstream.Name)
+			return n.targets(x.organisation, x.service.Name, x.upstream.Name)
 		},
-		Weight: func(a string) int { return n.weight(x.org.Name, a) },
+		Weight: func(a string) int { return n.weight(x.organisation, a) },
 		Events: n.events, Now: now,
 	})
 	n.setHome(x.key, h)
