--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -217,6 +217,29 @@
 	p.Close()
 }
 
+// Guards against damaged frames that stop a server or make it allocate what a
+// length claims.
+func TestDamagedFrames(t *testing.T) {
+	_, s, a := serve(t, Options{})
+	for _, f := range []string{"\xff\xff\xff\xff\x00\x01", "\x00\x00\x00\x00\x00\x00", "\x00\x00\x00\x03\xff\xff\x01", "\x00\x00\x00\x03\x00\x01\xff", "GET / HTTP/1.1\r\n\r\n"} {
+		c, err := net.Dial("tcp", a)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = c.Write([]byte(f))
+		if n, err := c.Read(make([]byte, 1)); err == nil {
+			t.Errorf("frame %q: %d bytes received, want the connection closed", f, n)
+		}
+		c.Close()
+	}
+	p := NewPool(Options{})
+	if err := p.Call(t.Context(), a, "Echo.Do", request("1", 0), new(schema.ForwardReply)); err != nil {
+		t.Error(err)
+	}
+	p.Close()
+	s.Close()
+}
+
 func BenchmarkCall(b *testing.B) {
 	for _, n := range []int{100, 4 << 10} {
 		b.Run(fmt.Sprintf("body=%d", n), func(b *testing.B) {
