Serve operator paths beside those of callers

Cause: a handler for all paths, registered first, hid those that the user of the server registers later. Change: paths that nobody registered go to the callers' handler, which refuses them; the global handler of net/http is not reachable. A test covers both kinds.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -49,10 +49,10 @@
 
 // NewServer returns a kratos server on l. Paths of two or more segments go to
 // caller, without passing kratos' router, which would redirect those that it
-// considers unclean. Other paths, and those below /-/, are for the operator:
-// the user of the server registers them.
+// considers unclean. Other paths, and those below /-/, are for the operator and
+// are registered with Handle or HandlePrefix of the server.
 func NewServer(l net.Listener, caller http.Handler) *khttp.Server {
-	s := khttp.NewServer(khttp.Listener(l), khttp.Timeout(0), khttp.StrictSlash(false), khttp.Filter(func(next http.Handler) http.Handler {
+	filter := func(next http.Handler) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if isOperator(r.URL.Path) {
 				next.ServeHTTP(w, r)
@@ -60,8 +60,11 @@
 			}
 			caller.ServeHTTP(w, r)
 		})
-	}))
-	s.HandlePrefix("/", http.NotFoundHandler())
+	}
+	// Without a handler for paths that are not found kratos would use the
+	// global one of net/http.
+	s := khttp.NewServer(khttp.Listener(l), khttp.Timeout(0), khttp.StrictSlash(false), khttp.Filter(filter),
+		khttp.NotFoundHandler(caller), khttp.MethodNotAllowedHandler(caller))
 	s.ReadHeaderTimeout, s.IdleTimeout, s.MaxHeaderBytes = headerTimeout, idleTimeout, maxHeader
 	return s
 }
--- a/internal/edge/handler_test.go
+++ b/internal/edge/handler_test.go
@@ -49,6 +49,7 @@
 	}
 	h := NewHandler(Options{Instance: "i1", Directory: guild(), Forwarder: f, Limiter: limit.New[AccountKey](limit.Options{})})
 	s := NewServer(l, h)
+	s.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(204) })
 	go s.Start(context.Background())
 	t.Cleanup(func() {
 		http.DefaultClient.CloseIdleConnections()
@@ -166,6 +167,17 @@
 	}
 }
 
+// Guards against operator's paths that callers' requests hide, and against paths
+// of neither that are not refused.
+func TestOperatorPaths(t *testing.T) {
+	a := start(t, answer)
+	for path, want := range map[string]int{"/healthz": 204, "/debug/vars": 404, "/-/none": 404, "/guild": 400, "/": 400, "/guild/": 400} {
+		if r, _ := send(t, a, "GET "+path+" HTTP/1.1\nHost: x\n\n"); r.StatusCode != want {
+			t.Errorf("%s: %d, want %d", path, r.StatusCode, want)
+		}
+	}
+}
+
 // Guards against outcomes written with the wrong status, and against a late
 // Forwarder that leaves a caller without an outcome at its deadline.
 func TestOutcomes(t *testing.T) {
