Make two tests independent of the load of the machine

Cause: TestStalledConnectionIsReplaced failed twice on a machine with a load of 24 on 10 cores: it gave the call 10 ms more than the silence that counts against a connection, and dialling used them up. The rate of 1 per second in TestLimitsAndCancellation has the same weakness. Change: the call gets twice that silence, and the client account one request in 100 s. What the tests demand is unchanged: two dials, no call held long beyond its deadline, the second request refused. Conclusion: the relay itself was right.

--- a/internal/edge/handler_test.go
+++ b/internal/edge/handler_test.go
@@ -36,7 +36,7 @@
 		},
 		Accounts: []*config.Account{
 			{Name: "web", CredentialSHA256: sha256.Sum256([]byte("secret")), Services: []string{"orders"}, Weight: 1},
-			{Name: "slow", CredentialSHA256: sha256.Sum256([]byte("token")), Services: []string{"orders"}, Weight: 1, Rate: 1},
+			{Name: "slow", CredentialSHA256: sha256.Sum256([]byte("token")), Services: []string{"orders"}, Weight: 1, Rate: 0.01},
 		},
 	}}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -184,11 +184,11 @@
 	}}
 	p := NewPool(o)
 	for range 2 {
-		c, stop := context.WithTimeout(t.Context(), stallAfter+10*time.Millisecond)
+		c, stop := context.WithTimeout(t.Context(), 2*stallAfter)
 		begin := time.Now()
 		err := p.Call(c, l.Addr().String(), "Echo.Do", request("1", 8<<20), new(schema.ForwardReply))
 		stop()
-		if !errors.Is(err, context.DeadlineExceeded) || time.Since(begin) > 2*stallAfter {
+		if !errors.Is(err, context.DeadlineExceeded) || time.Since(begin) > 4*stallAfter {
 			t.Errorf("%v after %v, want DeadlineExceeded", err, time.Since(begin))
 		}
 	}
