--- a/route/state_test.go
+++ b/route/state_test.go
@@ -9,9 +9,8 @@
 	"testing"
 
 	"github.com/leanovate/gopter"
-	"github.com/leanovate/gopter/commands"
-	"github.com/leanovate/gopter/gen"
 
+	"dandelionrock.example/dandelionrock/internal/steps"
 	"dandelionrock.example/dandelionrock/schema"
 	"dandelionrock.example/dandelionrock/table"
 )
@@ -160,36 +159,11 @@
 }
 
 func property(t testing.TB, seed int64, newer func(got, have table.Version) bool) *gopter.Properties {
-	steps := []struct {
-		name string
-		run  func(*mesh, int) string
-	}{
-		{"write", (*mesh).write},
-		{"deliver", (*mesh).deliver},
-		{"deliver", (*mesh).deliver},
-		{"pull", (*mesh).pull},
-		{"converge", (*mesh).converge},
-	}
-	p := gopter.DefaultTestParametersWithSeed(seed)
-	p.MinSuccessfulTests, p.MaxSize = 200, 60
-	q := gopter.NewProperties(p)
-	q.Property("versions never fall", commands.Prop(&commands.ProtoCommands{
-		NewSystemUnderTestFunc: func(commands.State) commands.SystemUnderTest { return newMesh(t, newer) },
-		InitialStateGen:        gen.Const(0),
-		GenCommandFunc: func(commands.State) gopter.Gen {
-			return gen.IntRange(0, 9999).Map(func(n int) commands.Command {
-				x := steps[n%len(steps)]
-				return &commands.ProtoCommand{
-					Name:    fmt.Sprintf("%s(%d)", x.name, n/len(steps)),
-					RunFunc: func(s commands.SystemUnderTest) commands.Result { return x.run(s.(*mesh), n/len(steps)) },
-					PostConditionFunc: func(_ commands.State, r commands.Result) *gopter.PropResult {
-						return gopter.NewPropResult(r == "", fmt.Sprint(r))
-					},
-				}
-			})
-		},
-	}))
-	return q
+	return steps.Properties(
+		seed, 200, 60, func() *mesh { return newMesh(t, newer) },
+		steps.New("write", (*mesh).write), steps.New("deliver", (*mesh).deliver), steps.New("deliver", (*mesh).deliver),
+		steps.New("pull", (*mesh).pull), steps.New("converge", (*mesh).converge),
+	)
 }
 
 // Guards against rows that go back to an earlier version, directories that
--- a/shard/plan_test.go
+++ b/shard/plan_test.go
@@ -72,6 +72,19 @@
 	}
 }
 
+// Guards against a join that takes more than its share of the load because the
+// most loaded upstream has only heavy shards.
+func TestJoinTakesNoHeavyShard(t *testing.T) {
+	u := []Upstream{{Name: "a"}, {Name: "b"}, {Name: "c", Closed: true}}
+	s := newState(t, 6, u)
+	s.Rates = map[ID]float64{0: 100, 1: 100, 2: 1, 3: 10, 4: 10, 5: 10}
+	u[2].Closed = false
+	m := s.Join("c")
+	if len(m) != 2 || m[0].Shard < 2 || m[1].Shard < 2 {
+		t.Errorf("Join = %+v, want two shards other than 0 and 1", m)
+	}
+}
+
 // Guards against an evacuation that fills the failure domain of the lost
 // upstream, and several at a time that choose the same destinations.
 func TestEvacuationSpreads(t *testing.T) {
--- a/shard/state_test.go
+++ b/shard/state_test.go
@@ -4,9 +4,7 @@
 	"fmt"
 	"testing"
 
-	"github.com/leanovate/gopter"
-	"github.com/leanovate/gopter/commands"
-	"github.com/leanovate/gopter/gen"
+	"dandelionrock.example/dandelionrock/internal/steps"
 )
 
 // fleet is a service with its traffic, planned for by the package. Its methods
@@ -28,14 +26,8 @@
 // leave closes an upstream. All its shards and no others move, and no
 // destination gets further above the mean than one shard.
 func (f *fleet) leave(n int) string {
-	open := 0
-	for _, u := range f.Upstreams {
-		if !u.Closed {
-			open++
-		}
-	}
 	u := &f.Upstreams[n%len(f.Upstreams)]
-	if u.Closed || open < 3 {
+	if u.Closed || f.open() < 3 {
 		return ""
 	}
 	u.Closed = true
@@ -44,27 +36,20 @@
 	if err != nil || len(m) != want {
 		return fmt.Sprintf("evacuation of %s with %d shards: %d moves, %v", u.Name, want, len(m), err)
 	}
-	before := f.State
 	f.State.apply(f.t, nil, m, nil)
-	return f.bounded(before, m, sizes)
+	return f.bounded(m, sizes)
 }
 
 // bounded checks that no destination of the moves gets above the mean by more
 // than the heaviest shard.
-func (f *fleet) bounded(before State, moves []Move, sizes map[ID]float64) string {
+func (f *fleet) bounded(moves []Move, sizes map[ID]float64) string {
 	sum, top, after := 0.0, 0.0, map[string]float64{}
 	f.Map.All(func(i ID, e Entry) bool {
 		after[e.Upstream] += sizes[i]
 		sum, top = sum+sizes[i], max(top, sizes[i])
 		return true
 	})
-	open := 0
-	for _, u := range before.Upstreams {
-		if !u.Closed {
-			open++
-		}
-	}
-	mean := sum / float64(open)
+	mean := sum / float64(f.open())
 	for _, m := range moves {
 		if l := after[m.To]; l > mean*(1+nearlyEqual)+top+1e-6 {
 			return fmt.Sprintf("%s has load %f, mean %f, heaviest shard %f", m.To, l, mean, top)
@@ -73,6 +58,15 @@
 	return ""
 }
 
+func (f *fleet) open() (n int) {
+	for _, u := range f.Upstreams {
+		if !u.Closed {
+			n++
+		}
+	}
+	return n
+}
+
 // sizes returns the size of each shard as the planner sees it.
 func (f *fleet) sizes() map[ID]float64 {
 	r := map[ID]float64{}
@@ -92,21 +86,12 @@
 		return ""
 	}
 	f.Upstreams[n].Closed = false
-	open, all := 0, 0
-	for _, u := range f.Upstreams {
-		if !u.Closed {
-			open++
-		}
-	}
-	for _, c := range counts(f.State) {
-		all += c
-	}
-	m, sizes, before := f.Join(f.Upstreams[n].Name), f.sizes(), f.State
-	if len(m) > all/open || f.Rates == nil && len(m) < all/open {
-		return fmt.Sprintf("join of %s moves %d shards, want %d", f.Upstreams[n].Name, len(m), all/open)
+	m, sizes := f.Join(f.Upstreams[n].Name), f.sizes()
+	if share := len(sizes) / f.open(); len(m) > share || f.Rates == nil && len(m) < share {
+		return fmt.Sprintf("join of %s moves %d shards, want %d", f.Upstreams[n].Name, len(m), share)
 	}
 	f.State.apply(f.t, nil, m, nil)
-	return f.bounded(before, m, sizes)
+	return f.bounded(m, sizes)
 }
 
 // shift changes the load of all keys, and what the homes report.
@@ -206,51 +191,25 @@
 	return bad
 }
 
-// step is one command on a fleet.
-func step(name string, arg int, run func(*fleet, int) string) commands.Command {
-	return &commands.ProtoCommand{
-		Name: fmt.Sprintf("%s(%d)", name, arg),
-		RunFunc: func(s commands.SystemUnderTest) commands.Result {
-			f := s.(*fleet)
-			if bad := run(f, arg); bad != "" {
-				return bad
-			}
-			return f.check()
-		},
-		PostConditionFunc: func(_ commands.State, r commands.Result) *gopter.PropResult {
-			return gopter.NewPropResult(r == "", fmt.Sprint(r))
-		},
-	}
+// checked adds check to a step.
+func checked(name string, run func(*fleet, int) string) steps.Step[*fleet] {
+	return steps.New(name, func(f *fleet, n int) string {
+		if bad := run(f, n); bad != "" {
+			return bad
+		}
+		return f.check()
+	})
 }
 
 // Guards against shards with no or two owners, falling epochs, needless churn,
 // uneven load and plans without end, in any order of join, leave, change of
 // load, split and rebalance.
 func TestPlannerStateful(t *testing.T) {
-	steps := []struct {
-		name string
-		run  func(*fleet, int) string
-	}{
-		{"leave", (*fleet).leave},
-		{"join", (*fleet).join},
-		{"shift", (*fleet).shift},
-		{"split", (*fleet).split},
-		{"rebalance", (*fleet).rebalance},
-	}
 	for seed := range int64(3) {
-		p := gopter.DefaultTestParametersWithSeed(seed)
-		p.MinSuccessfulTests, p.MaxSize = 100, 30
-		q := gopter.NewProperties(p)
-		q.Property("ownership, churn and balance", commands.Prop(&commands.ProtoCommands{
-			NewSystemUnderTestFunc: func(commands.State) commands.SystemUnderTest { return newFleet(t) },
-			InitialStateGen:        gen.Const(0),
-			GenCommandFunc: func(commands.State) gopter.Gen {
-				return gen.IntRange(0, 9999).Map(func(n int) commands.Command {
-					x := steps[n%len(steps)]
-					return step(x.name, n/len(steps), x.run)
-				})
-			},
-		}))
-		q.TestingRun(t)
+		steps.Properties(
+			seed, 100, 30, func() *fleet { return newFleet(t) },
+			checked("leave", (*fleet).leave), checked("join", (*fleet).join), checked("shift", (*fleet).shift),
+			checked("split", (*fleet).split), checked("rebalance", (*fleet).rebalance),
+		).TestingRun(t)
 	}
 }
