Keep the way back out of a forwarded request's time

Cause: the home of another region answered at the deadline, and the answer arrived too late: the entry had already reported the outcome as unknown. Change: the time of a forwarded request is shortened by the duration of the last heartbeat call to the home, at most 100 ms. A reused order id is refused with status 409.

--- a/internal/home/orders.go
+++ b/internal/home/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -43,7 +44,9 @@
 	case order.Replay:
 		return d.Reply
 	case order.Mismatch:
-		return notRun(reasonOrderMismatch, false)
+		y := notRun(reasonOrderMismatch, false)
+		y.Status = http.StatusConflict
+		return y
 	case order.Full:
 		return notRun(reasonRecordFull, false)
 	}
--- a/internal/node/beat.go
+++ b/internal/node/beat.go
@@ -5,6 +5,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dandelionrock.example/dandelionrock/event"
@@ -28,6 +29,24 @@
 	mu sync.Mutex
 	// by is keyed by instance id.
 	by map[string]*view
+	// trips holds the duration of the last heartbeat call to each instance, an
+	// *atomic.Int64 by instance id, read by requests without the lock.
+	trips sync.Map
+}
+
+// timed records how long a heartbeat call took.
+func (v *views) timed(id string, d time.Duration) {
+	x, _ := v.trips.LoadOrStore(id, &atomic.Int64{})
+	x.(*atomic.Int64).Store(int64(d))
+}
+
+// trip returns the duration of the last heartbeat call to an instance, 0 if
+// there was none.
+func (v *views) trip(id string) time.Duration {
+	if x, ok := v.trips.Load(id); ok {
+		return time.Duration(x.(*atomic.Int64).Load())
+	}
+	return 0
 }
 
 // view is the last heartbeat of one instance.
@@ -132,7 +151,9 @@
 			c, f := context.WithTimeout(n.life, n.s.SuspectAfter)
 			defer f()
 			var r schema.HeartbeatReply
+			begin := time.Now()
 			if n.pool.Call(c, p.RPCAddress, "Peer.Heartbeat", m, &r) == nil {
+				n.views.timed(p.ID, time.Since(begin))
 				n.heard(r.GetSelf())
 			}
 		})
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -11,6 +11,10 @@
 	"dandelionrock.example/dandelionrock/schema"
 )
 
+// maxTrip bounds the part of a request's time that is kept for the way back, so
+// that one slow heartbeat doesn't take it all.
+const maxTrip = 100 * time.Millisecond
+
 // resolver implements edge.Resolver over the directory.
 type resolver struct{ n *Node }
 
@@ -31,7 +35,7 @@
 	if !ok {
 		return e, route.ErrNoHome
 	}
-	e.Address = i.RPCAddress
+	e.Address, e.RoundTrip = i.RPCAddress, min(x.n.views.trip(t.Home), maxTrip)
 	return e, nil
 }
 
