Count an upstream as unavailable after two missed renewals

Cause: homes of upstreams that are lost together evacuate at the same moment, when the heartbeats don't yet name the other lost upstreams, and choose them. Change: an upstream is named unavailable after half of the time to live; its shards still move only when its grants have expired.

--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -312,11 +312,13 @@
 }
 
 // Unavailable reports whether the upstream is silent or draining and should
-// get no shards.
+// get no shards. Half of the time to live is two missed renewals; the others
+// must know before the grants expire, or upstreams that are lost together are
+// evacuated to one another.
 func (h *Home) Unavailable() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.leaving != 0 || h.silent(h.c.Now()) > h.c.Lease.TTL
+	return h.leaving != 0 || h.silent(h.c.Now()) > h.c.Lease.TTL/2
 }
 
 // silent returns for how long the upstream has not answered in this term.
