shard: move hot keys along with their base shard

Cause: when no further key may be split, a plan took a base shard for as light as it is without its hot keys. Its move then swapped the loads, and plans did not end (found with Policy.MaxHot at 8 and idle overrides kept). Change: a base shard counts with the hot keys that are still in it.

--- a/shard/balance_test.go
+++ b/shard/balance_test.go
@@ -139,7 +139,8 @@
 // Guards against a load that stays uneven, against churn that doesn't serve
 // balance, and against plans that don't end. 16 upstreams, 256 shards. With the
 // plain Zipf rates the hottest key alone exceeds the mean load, so the floor
-// takes the place of the target.
+// takes the place of the target, with the quarter of the hysteresis that limits
+// adds to it.
 func TestRebalanceTargets(t *testing.T) {
 	for _, x := range []struct {
 		name             string
@@ -148,9 +149,9 @@
 		want, churn      float64
 	}{
 		{"uniform", 100000, 0, 0, 1.10, 0},
-		{"zipf 1.1", 100000, 1.1, 0, 1.25, 0.12},
-		{"zipf 1.1", 300000, 1.1, 0, 1.25, 0.12},
-		{"zipf 1.1, offset 2", 100000, 1.1, 2, 1.25, 0.06},
+		{"zipf 1.1", 100000, 1.1, 0, 1.25, 0.10},
+		{"zipf 1.1", 300000, 1.1, 0, 1.25, 0.10},
+		{"zipf 1.1, offset 2", 100000, 1.1, 2, 1.25, 0.01},
 		{"zipf 1.1, offset 10", 100000, 1.1, 10, 1.25, 0.01},
 	} {
 		for seed := range int64(3) {
@@ -160,9 +161,43 @@
 			got, churn := f.loads(s), f.moved(first, s.Map)
 			t.Logf("%s, %d keys, seed %d: imbalance %.3f -> %.3f, second %.3f, floor %.3f, %.2f%% of keys moved, %d moves, %d splits, %d plans",
 				x.name, x.keys, seed, before[0], got[0], got[1], p.Floor, 100*churn, moves, splits, plans)
-			if got[0] > max(x.want, p.Floor*1.05) || got[1] > x.want || churn > x.churn {
+			if got[0] > max(x.want, p.Floor+0.032) || got[1] > x.want || churn > x.churn {
 				t.Errorf("imbalance %.3f, second %.3f, floor %.3f, churn %.3f", got[0], got[1], p.Floor, churn)
 			}
 		}
 	}
 }
+
+// Guards against overrides that pile up as the hot keys change.
+func TestIdleHotShardsAreMerged(t *testing.T) {
+	s, y := newState(t, 64, upstreams(4)), Policy{Above: 1.1, MaxHot: 8}
+	for seed := range int64(12) {
+		f := newTraffic(5000, 1.1, 2, seed)
+		f.settle(t, &s, y)
+		n := 0
+		for _, b := range s.Map.blocks {
+			n += len(b.hot)
+		}
+		if l := f.loads(s); n > y.MaxHot/2 || l[0] > 1.25 {
+			t.Errorf("seed %d: %d overrides, imbalance %.3f", seed, n, l[0])
+		}
+	}
+}
+
+// Guards against plans without end: a base shard takes along the hot keys that
+// can't be split, and its move then only swaps the loads.
+func TestBaseShardMovesWithHotKeys(t *testing.T) {
+	s := newState(t, 4, upstreams(2))
+	hot := HotKey{Key: "hot", Rate: 60}
+	i, _, _ := s.Map.Find(hot.Key)
+	cold := "cold"
+	for n := 0; Base(s.Map.Hash(cold), 4) == i; n++ {
+		cold = fmt.Sprint("cold", n)
+	}
+	s.apply(t, []HotKey{{Key: cold}}, nil, nil)
+	s.Rates, s.Hot = map[ID]float64{0: 0, 1: 0, 2: 0, 3: 0, 4: 0}, []HotKey{hot}
+	s.Rates[i] = 100
+	if p := s.Rebalance(Policy{Above: 1.25, MaxHot: 1}); len(p.Splits)+len(p.Moves) != 0 {
+		t.Errorf("plan %+v, want none", p)
+	}
+}
--- a/shard/rebalance.go
+++ b/shard/rebalance.go
@@ -21,7 +21,7 @@
 	// MaxHot bounds the shards of hot keys in the service; 0 means 256.
 	MaxHot int
 	// MoveCost is the part of the mean load by which the move of a base shard
-	// must lower the load of its upstream; 0 means 0.01. The move of a hot key
+	// must lower the load of its upstream; 0 means 0.02. The move of a hot key
 	// must lower it by hotCost times as much, because it changes the owner of
 	// one key only.
 	MoveCost float64
@@ -95,7 +95,7 @@
 		p.MaxHot = 256
 	}
 	if p.MoveCost <= 0 {
-		p.MoveCost = 0.01
+		p.MoveCost = 0.02
 	}
 	return p
 }
@@ -174,6 +174,17 @@
 	o.items = append(o.items, k)
 }
 
+// attached returns the hot keys that are still part of a base shard and move
+// with it.
+func (o *owner) attached(base item) (r []item) {
+	for _, k := range o.items {
+		if !base.hot && k.id == base.id && k.key != "" {
+			r = append(r, k)
+		}
+	}
+	return r
+}
+
 func (o *owner) load() float64 { return o.size / o.weight() }
 
 func (b *balance) highest() float64 {
@@ -256,7 +267,11 @@
 			if i.hot != hot || i.frozen || i.key != "" && b.hot >= b.MaxHot {
 				continue
 			}
-			if t, g := b.gain(u, i); g >= least {
+			whole := i
+			for _, k := range u.attached(i) {
+				whole.size += k.size
+			}
+			if t, g := b.gain(u, whole); g >= least {
 				best, to, least = i, t, g+1e-12
 			}
 		}
@@ -279,6 +294,9 @@
 }
 
 func (b *balance) shift(i item, from, to *owner) {
+	for _, k := range from.attached(i) {
+		b.work.move(k, from, to)
+	}
 	b.work.move(i, from, to)
 	p := slices.IndexFunc(b.moved, func(c *change) bool { return c.item.id == i.id && c.item.hash == i.hash })
 	if p >= 0 {
--- a/shard/retire.go
+++ b/shard/retire.go
@@ -20,10 +20,11 @@
 		}
 		for _, o := range k.hot {
 			v, ok := s.Rates[o.ID]
-			if !ok || v >= idle || s.Frozen[o.ID] || moved[o.ID] {
+			base := Base(o.Hash, s.Map.Count())
+			if !ok || v >= idle || s.Frozen[o.ID] || moved[o.ID] || moved[base] {
 				continue
 			}
-			e := k.entry(Base(o.Hash, s.Map.Count()))
+			e := k.entry(base)
 			if to := b.find(e.Upstream); e.Upstream == o.Upstream {
 				r.Merges = append(r.Merges, o.Hash)
 			} else if to != nil && !to.Closed && len(r.Moves) < b.MaxMoves {
