shard: test that noise in the rates causes no churn

Cause: homes report rates that fluctuate, and users weigh churn. Change: test of Balancer with a constant load reported with 10% error.

--- a/shard/plan_test.go
+++ b/shard/plan_test.go
@@ -1,6 +1,9 @@
 package shard
 
 import (
+	"maps"
+	"math/rand"
+	"slices"
 	"testing"
 	"time"
 )
@@ -143,3 +146,30 @@
 		t.Errorf("imbalance %.3f", l[0])
 	}
 }
+
+// Guards against moves that noise in the reported rates causes again and again.
+// The load stays the same for four minutes; each rate is reported with an error
+// of 10% standard deviation. Bounds are on base shards moved in the last two.
+func TestNoiseCausesNoChurn(t *testing.T) {
+	for seed := range int64(3) {
+		s, f := newState(t, 256, upstreams(16)), newTraffic(20000, 1.1, float64(2*seed), seed)
+		b, r, late := Balancer{Policy: Policy{Above: 1.25}}, rand.New(rand.NewSource(seed)), 0
+		for now := range 240 {
+			f.report(&s)
+			for _, i := range slices.Sorted(maps.Keys(s.Rates)) {
+				s.Rates[i] *= 1 + r.NormFloat64()/10
+			}
+			p := b.Propose(Time(now)*Time(time.Second), s)
+			for _, m := range p.Moves {
+				if now >= 120 && uint32(m.Shard) < s.Map.Count() {
+					late++
+				}
+			}
+			s.apply(t, p.Splits, p.Moves, p.Merges)
+		}
+		t.Logf("seed %d: %d base shards moved late, imbalance %.3f", seed, late, f.loads(s)[0])
+		if late > 4 {
+			t.Errorf("seed %d: %d base shards moved late", seed, late)
+		}
+	}
+}
