Show operators only what concerns their organisation

Cause: status and timeline needed no credential and named all organisations on the callers' port, and so did the metrics. Organisations share instances without knowing one another. Change: status and timeline need an operator's credential and leave out other organisations; metrics are served on an address of their own, metrics-address, and not at all without it. The golden files show each case.

--- a/config/settings.go
+++ b/config/settings.go
@@ -12,10 +12,13 @@
 type Settings struct {
 	// InstanceID is unique among all instances.
 	InstanceID, Region, FailureDomain string
-	// HTTPAddress serves callers, operators, metrics and health; RPCAddress
-	// serves other instances. Both are an IP address and port.
+	// HTTPAddress serves callers, operators and health; RPCAddress serves other
+	// instances. Both are an IP address and port.
 	HTTPAddress, RPCAddress string
-	Platform                Platform
+	// MetricsAddress serves metrics, which name all organisations; it is empty
+	// if they aren't served.
+	MetricsAddress string
+	Platform       Platform
 	// HeartbeatInterval is at most half of SuspectAfter.
 	HeartbeatInterval, SuspectAfter time.Duration
 	Operators                       []*Operator
@@ -83,6 +86,9 @@
 		LogLevel:      "info",
 		Delays:        c.delays(m.GetLab().GetDelays()),
 	}
+	if c.stated(path("").key("metrics-address")) {
+		s.MetricsAddress = c.address("", "metrics-address", m.GetMetricsAddress())
+	}
 	if k := path("").key("rpc-address"); c.stated(k) && s.RPCAddress == s.HTTPAddress {
 		c.fault(k, "rpc-address = %q is also the http-address", s.RPCAddress)
 	}
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -39,7 +39,12 @@
 }
 
 func (f *fake) Events() ([]event.Event, uint64) {
-	return []event.Event{{Clock: 1 << 40, InstanceID: "hobart-a-1", Kind: "started"}}, 3
+	return []event.Event{
+		{Clock: 1 << 40, InstanceID: "hobart-a-1", Kind: "instance-suspect", Subject: "hobart-b-1"},
+		{Clock: 1<<40 + 1, InstanceID: "hobart-a-1", Kind: "home-started", Subject: "home/guild/quotes/quote-01"},
+		{Clock: 1<<40 + 2, InstanceID: "hobart-a-1", Kind: "rebalance-proposed", Subject: "cooperative/stock"},
+		{Clock: 1<<40 + 3, InstanceID: "hobart-a-1", Kind: "config-accepted", Subject: "config/cooperative"},
+	}, 3
 }
 
 func operators() []*config.Operator {
@@ -59,8 +64,9 @@
 }
 
 // Guards against answers that differ from the documented ones, against a
-// change by an operator of another organisation, and against a refused text
-// that reaches the store.
+// change by an operator of another organisation, against a status or timeline
+// that tells of another organisation, and against a refused text that reaches
+// the store.
 func TestAnswers(t *testing.T) {
 	g := string(text(t))
 	bad, conflict := errors.New("store is down"), &ConflictError{Config{Version: 9, Text: "newer"}}
@@ -87,8 +93,12 @@
 		{"get", "GET", "config/guild", "Bearer a", "", "", nil, 0},
 		{"get-other-organisation", "GET", "config/cooperative", "Bearer a", "", "", nil, 0},
 		{"get-store-down", "GET", "config/guild", "Bearer a", "", "", bad, 0},
-		{"status", "GET", "status", "", "", "", nil, 0},
-		{"timeline", "GET", "timeline", "", "", "", nil, 0},
+		{"status", "GET", "status", "Bearer a", "", "", nil, 0},
+		{"status-other-organisation", "GET", "status", "Bearer b", "", "", nil, 0},
+		{"status-no-credential", "GET", "status", "", "", "", nil, 0},
+		{"timeline", "GET", "timeline", "Bearer a", "", "", nil, 0},
+		{"timeline-other-organisation", "GET", "timeline", "Bearer b", "", "", nil, 0},
+		{"timeline-wrong-credential", "GET", "timeline", "Bearer c", "", "", nil, 0},
 	} {
 		f := &fake{err: c.err}
 		r := httptest.NewRequest(c.method, "/operate/"+c.path, strings.NewReader(c.body))
--- a/internal/admin/handler.go
+++ b/internal/admin/handler.go
@@ -41,8 +41,8 @@
 
 // Handler serves the paths below /operate/. All fields are required.
 type Handler struct {
-	// Operators lists the credentials that may read and submit configurations.
-	// Status and timeline need no credential.
+	// Operators lists the credentials. Each gives access to the configuration of
+	// its organisation and to what status and timeline tell of it.
 	Operators []*config.Operator
 	Submitter Submitter
 	Reporter  Reporter
@@ -54,43 +54,48 @@
 	m := http.NewServeMux()
 	m.HandleFunc("PUT /operate/config/{organisation}", h.authorised(h.submit))
 	m.HandleFunc("GET /operate/config/{organisation}", h.authorised(h.config))
-	m.HandleFunc("GET /operate/status", h.status)
-	m.HandleFunc("GET /operate/timeline", h.timeline)
+	m.HandleFunc("GET /operate/status", h.known(h.status))
+	m.HandleFunc("GET /operate/timeline", h.known(h.timeline))
 	return m
 }
 
 // authorised passes on the requests of operators of the organisation in the path.
 func (h Handler) authorised(next http.HandlerFunc) http.HandlerFunc {
+	return h.known(func(w http.ResponseWriter, r *http.Request, organisation string) {
+		if organisation != r.PathValue("organisation") {
+			fail(w, http.StatusForbidden, OutcomeNotRun, "credential is of an operator of another organisation")
+			return
+		}
+		next(w, r)
+	})
+}
+
+// known passes on the requests of operators, with their organisation.
+func (h Handler) known(next func(http.ResponseWriter, *http.Request, string)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		switch h.operator(r.Header.Get("Authorization"), r.PathValue("organisation")) {
-		case http.StatusUnauthorized:
+		o := h.operator(r.Header.Get("Authorization"))
+		if o == "" {
 			w.Header().Set("WWW-Authenticate", "Bearer")
 			fail(w, http.StatusUnauthorized, OutcomeNotRun, "credential is missing or unknown")
-		case http.StatusForbidden:
-			fail(w, http.StatusForbidden, OutcomeNotRun, "credential is of an operator of another organisation")
-		default:
-			next(w, r)
+			return
 		}
+		next(w, r, o)
 	}
 }
 
-// operator compares with every credential, so that the time taken does not
-// tell which of them is similar.
-func (h Handler) operator(authorization, organisation string) int {
+// operator returns the organisation of a credential, "" if it is unknown. It
+// compares with every credential, so that the time taken does not tell which of
+// them is similar. The settings hold no credential twice.
+func (h Handler) operator(authorization string) string {
 	c, ok := strings.CutPrefix(authorization, "Bearer ")
 	s := sha256.Sum256([]byte(c))
-	code := http.StatusUnauthorized
+	var organisation string
 	for _, o := range h.Operators {
-		if subtle.ConstantTimeCompare(s[:], o.CredentialSHA256[:]) != 1 || !ok {
-			continue
-		}
-		if o.Organisation == organisation {
-			code = http.StatusOK
-		} else if code != http.StatusOK {
-			code = http.StatusForbidden
+		if subtle.ConstantTimeCompare(s[:], o.CredentialSHA256[:]) == 1 && ok {
+			organisation = o.Organisation
 		}
 	}
-	return code
+	return organisation
 }
 
 func (h Handler) submit(w http.ResponseWriter, r *http.Request) {
@@ -149,19 +154,13 @@
 	reply(w, http.StatusOK, v)
 }
 
-func (h Handler) status(w http.ResponseWriter, _ *http.Request) {
-	s := h.Reporter.Status()
-	if s.Peers == nil {
-		s.Peers = []Peer{}
-	}
-	if s.Homes == nil {
-		s.Homes = []Home{}
-	}
-	reply(w, http.StatusOK, s)
+func (h Handler) status(w http.ResponseWriter, _ *http.Request, organisation string) {
+	reply(w, http.StatusOK, h.Reporter.Status().only(organisation))
 }
 
-func (h Handler) timeline(w http.ResponseWriter, _ *http.Request) {
+func (h Handler) timeline(w http.ResponseWriter, _ *http.Request, organisation string) {
 	e, n := h.Timeline.Events()
+	e = onlyEvents(e, organisation)
 	w.Header().Set("Content-Type", "application/jsonl")
 	w.Header().Set(OverwrittenHeader, strconv.FormatUint(n, 10))
 	// The client sees a body that breaks off; nothing more can be told to it.
--- a/internal/comand/comand.go
+++ b/internal/comand/comand.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"net/url"
+	"os"
+	"strings"
 	"time"
 
 	"dandelionrock.example/dandelionrock/config"
@@ -129,3 +131,28 @@
 	h := &http.Client{Timeout: l.Timeout, Transport: &http.Transport{}}
 	return &admin.Client{URL: instance, Credential: credential, HTTP: h}, nil
 }
+
+// credentialVariable holds the operator credential if no file is given.
+const credentialVariable = "DANDELIONROCK_CREDENTIAL"
+
+// operator is the option that all commands share which need a credential.
+type operator struct {
+	CredentialFile string `long:"credential-file" value-name:"FILE" description:"Operator credential; without it, the environment variable DANDELIONROCK_CREDENTIAL is used"`
+}
+
+// credential returns the operator credential. It returns a usage error if there
+// is none.
+func (o operator) credential(r *run) (string, error) {
+	k, from := r.Getenv(credentialVariable), credentialVariable
+	if o.CredentialFile != "" {
+		b, err := os.ReadFile(o.CredentialFile)
+		if err != nil {
+			return "", err
+		}
+		k, from = string(b), o.CredentialFile
+	}
+	if k = strings.TrimSpace(k); k == "" {
+		return "", errors.Mark(errors.Newf("no credential in %s; give --credential-file or set %s", from, credentialVariable), errUsage)
+	}
+	return k, nil
+}
--- a/internal/comand/comand_test.go
+++ b/internal/comand/comand_test.go
@@ -155,6 +155,8 @@
 		{"submit-wait-limit", "submit --instance URL --wait --wait-limit 500ms " + guild, &fake{confirmAt: 1000}},
 		{"submit-wait-no-status", "submit --instance URL --wait --wait-limit 1ns " + guild, &fake{}},
 		{"status", "status --instance URL", &fake{}},
+		{"status-no-credential", "status --instance URL --credential-file " + os.DevNull, &fake{}},
+		{"status-wrong-credential", "status --instance URL --credential-file testdata/wrong-credential", &fake{}},
 		{"status-json", "status --instance URL --format json", &fake{}},
 		{"timeline", "timeline --instance URL --instance URL/", &fake{}},
 		{"timeline-json", "timeline --instance URL --format json", &fake{}},
--- a/internal/comand/status.go
+++ b/internal/comand/status.go
@@ -20,11 +20,16 @@
 	Instance string `long:"instance" value-name:"URL" required:"yes" description:"HTTP address of an instance"`
 	Format   string `long:"format" choice:"text" choice:"json" default:"text" description:"Form of the output"`
 	limit
+	operator
 }
 
 // Execute implements flags.Commander.
 func (s *status) Execute([]string) error {
-	c, err := s.client(s.Instance, "")
+	k, err := s.credential(s.r)
+	if err != nil {
+		return err
+	}
+	c, err := s.client(s.Instance, k)
 	if err != nil {
 		return err
 	}
@@ -78,15 +83,20 @@
 	Instances []string `long:"instance" value-name:"URL" required:"yes" description:"HTTP address of an instance; may be repeated"`
 	Format    string   `long:"format" choice:"text" choice:"json" default:"text" description:"Form of the output; json is one object a line"`
 	limit
+	operator
 }
 
 // Execute implements flags.Commander.
 func (t *timeline) Execute([]string) error {
 	lists := make([][]event.Event, len(t.Instances))
 	notes, errs := make([]string, len(t.Instances)), make([]error, len(t.Instances))
+	k, err := t.credential(t.r)
+	if err != nil {
+		return err
+	}
 	var g sync.WaitGroup
 	for i, u := range t.Instances {
-		c, err := t.client(u, "")
+		c, err := t.client(u, k)
 		if err != nil {
 			return err
 		}
--- a/internal/comand/submit.go
+++ b/internal/comand/submit.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"strings"
 	"time"
 
 	"dandelionrock.example/dandelionrock/config"
@@ -15,17 +14,14 @@
 
 After an unknown outcome, submit the same text again with the same --based-on: if the first attempt was stored, its version is reported.`
 
-// credentialVariable holds the operator credential if no file is given.
-const credentialVariable = "DANDELIONROCK_CREDENTIAL"
-
 type submit struct {
-	r              *run
-	Instance       string  `long:"instance" value-name:"URL" required:"yes" description:"HTTP address of any instance, such as http://10.0.0.1:8080"`
-	CredentialFile string  `long:"credential-file" value-name:"FILE" description:"Operator credential; without it, the environment variable DANDELIONROCK_CREDENTIAL is used"`
-	BasedOn        *uint64 `long:"based-on" value-name:"VERSION" description:"Version that the text was derived from; 0 for the first one"`
-	ForceLatest    bool    `long:"force-latest" description:"Replace whatever version is in force"`
-	Wait           bool    `long:"wait" description:"Wait until every live instance has put the version into force"`
+	r           *run
+	Instance    string  `long:"instance" value-name:"URL" required:"yes" description:"HTTP address of any instance, such as http://10.0.0.1:8080"`
+	BasedOn     *uint64 `long:"based-on" value-name:"VERSION" description:"Version that the text was derived from; 0 for the first one"`
+	ForceLatest bool    `long:"force-latest" description:"Replace whatever version is in force"`
+	Wait        bool    `long:"wait" description:"Wait until every live instance has put the version into force"`
 	limit
+	operator
 	WaitLimit time.Duration `long:"wait-limit" value-name:"DURATION" default:"30s" description:"Limit of --wait"`
 	Args      struct {
 		File string `positional-arg-name:"FILE" required:"yes"`
@@ -42,7 +38,7 @@
 	if err != nil {
 		return err
 	}
-	k, err := s.credential()
+	k, err := s.credential(s.r)
 	if err != nil {
 		return err
 	}
@@ -69,21 +65,6 @@
 	return nil
 }
 
-func (s *submit) credential() (string, error) {
-	k, from := s.r.Getenv(credentialVariable), credentialVariable
-	if s.CredentialFile != "" {
-		b, err := os.ReadFile(s.CredentialFile)
-		if err != nil {
-			return "", err
-		}
-		k, from = string(b), s.CredentialFile
-	}
-	if k = strings.TrimSpace(k); k == "" {
-		return "", errors.Mark(errors.Newf("no credential in %s; give --credential-file or set %s", from, credentialVariable), errUsage)
-	}
-	return k, nil
-}
-
 // basedOn returns the version that the text replaces. A version that the
 // operator hasn't seen is only replaced on request.
 func (s *submit) basedOn(c *admin.Client, organisation string) (uint64, error) {
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	kratos "github.com/go-kratos/kratos/v2"
+	"github.com/go-kratos/kratos/v2/transport"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"dandelionrock.example/dandelionrock/event"
@@ -34,13 +35,17 @@
 	n.work.Go(func() { _ = n.rpc.Serve(l) })
 	n.startDuties()
 	n.events.Record("instance-started", n.self.ID, event.String("incarnation", n.self.Incarnation))
+	servers := []transport.Server{n.httpServer(w)}
+	if n.s.MetricsAddress != "" {
+		servers = append(servers, n.metricsServer())
+	}
 	a := kratos.New(
 		kratos.Name("dandelionrock"),
 		kratos.ID(n.self.ID),
 		// The context ends the instance. SIGKILL can't be caught, so that kratos
 		// gets no signal; an empty list would mean all of them.
 		kratos.Signal(syscall.SIGKILL),
-		kratos.Server(n.httpServer(w)),
+		kratos.Server(servers...),
 		kratos.StopTimeout(n.s.DrainTimeout),
 	)
 	failed := make(chan error, 1)
@@ -115,12 +120,18 @@
 	s.HandlePrefix("/operate/", admin.New(admin.Handler{
 		Operators: n.s.Operators, Submitter: n, Reporter: n, Timeline: n.events,
 	}))
-	s.Handle("/metrics", n.metrics)
 	s.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { health(w, true) })
 	s.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) { health(w, n.ready()) })
 	return s
 }
 
+// metricsServer returns the server for the metrics page.
+func (n *Node) metricsServer() *khttp.Server {
+	s := khttp.NewServer(khttp.Address(n.s.MetricsAddress))
+	s.Handle("/metrics", n.metrics)
+	return s
+}
+
 // health answers 200 or 503.
 func health(w http.ResponseWriter, ok bool) {
 	if !ok {
