--- a/internal/node/meter.go
+++ b/internal/node/meter.go
@@ -65,3 +65,26 @@
 	s := strings.TrimPrefix(o.String(), "OUTCOME_")
 	return strings.ToLower(strings.ReplaceAll(s, "_", "-"))
 }
+
+// gaugeInterval is how often the gauges are set.
+const gaugeInterval = time.Second
+
+// gauges sets the metrics that describe the present state.
+func (n *Node) gauges() {
+	running, queued, unavailable := 0, 0, 0
+	l := *n.homes.Load()
+	for _, h := range l {
+		_, r, q := h.State()
+		running, queued = running+r, queued+q
+		if h.Unavailable() {
+			unavailable++
+		}
+	}
+	for name, v := range map[string]int{
+		"homes": len(l), "requests_in_flight": running, "requests_queued": queued,
+		"upstreams_unavailable": unavailable, "instances_live": len(n.peers.Live()),
+		"own_pauses": n.peers.Pauses(), "rows_not_in_force": len(n.dir.Problems()),
+	} {
+		n.scope.Gauge(name).Update(float64(v))
+	}
+}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -79,6 +79,7 @@
 	n.every(planInterval, n.plan)
 	n.every(balanceInterval, n.balance)
 	n.every(keepInterval, n.keep)
+	n.every(gaugeInterval, n.gauges)
 }
 
 // listLoop reads the list of instances at once and then at the poll interval.
