Add caller: requests as a client account sends them

The demo and operators need a client that states key, order id, attempt and time limit, and that shows which instance and upstream answered.

--- /dev/null
+++ b/internal/caller/result.go
@@ -0,0 +1,113 @@
+package caller
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Outcome tells whether the request was executed.
+type Outcome string
+
+const (
+	// Answered means that the upstream's answer arrived whole.
+	Answered Outcome = "answered"
+	// NotRun means that the request was not executed.
+	NotRun Outcome = "not-run"
+	// Unknown means that the request may have been executed.
+	Unknown Outcome = "unknown"
+)
+
+// Reasons that the caller itself finds.
+const (
+	// reasonNoConnection: no connection was made, so that nothing was sent.
+	reasonNoConnection = "no-connection"
+	// reasonNoAnswer: the answer is missing or broke off.
+	reasonNoAnswer = "no-answer"
+	// reasonNoOutcome: the answer doesn't state a known outcome.
+	reasonNoOutcome = "no-outcome"
+)
+
+// Result tells how a request ended and what served it. Fields that the answer
+// doesn't state are zero.
+type Result struct {
+	Organisation string  `json:"organisation"`
+	Service      string  `json:"service"`
+	Key          string  `json:"key"`
+	OrderID      string  `json:"order-id,omitempty"`
+	Outcome      Outcome `json:"outcome"`
+	Reason       string  `json:"reason,omitempty"`
+	Status       int     `json:"status"`
+	Entry        string  `json:"entry"`
+	Home         string  `json:"home"`
+	Upstream     string  `json:"upstream"`
+	Epoch        uint64  `json:"epoch"`
+	RequestID    string  `json:"request-id"`
+	// LatencyMs is the time of the last attempt, ElapsedMs that since the first
+	// one began; EndedMs is the Unix time of the end.
+	LatencyMs float64 `json:"latency-ms"`
+	ElapsedMs float64 `json:"elapsed-ms"`
+	EndedMs   int64   `json:"ended-ms"`
+	Attempts  int     `json:"attempts"`
+}
+
+// read makes a result of an attempt's answer or error.
+func (c *Config) read(p *http.Response, err error) Result {
+	r := Result{Organisation: c.Organisation, Service: c.Service, Key: c.Key, OrderID: c.OrderID}
+	if err != nil {
+		r.Outcome, r.Reason = Unknown, reasonNoAnswer
+		if e := (*net.OpError)(nil); errors.As(err, &e) && e.Op == "dial" {
+			r.Outcome, r.Reason = NotRun, reasonNoConnection
+		}
+		return r
+	}
+	defer p.Body.Close()
+	r.state(p)
+	if _, err = io.Copy(io.Discard, p.Body); err != nil && r.Outcome == Answered {
+		r.Outcome, r.Reason = Unknown, reasonNoAnswer
+	}
+	return r
+}
+
+// state copies what the headers say.
+func (r *Result) state(p *http.Response) {
+	h := p.Header
+	r.Status, r.Outcome, r.Reason = p.StatusCode, Outcome(h.Get(headerOutcome)), h.Get(headerReason)
+	switch r.Outcome {
+	case Answered, NotRun, Unknown:
+	default:
+		r.Outcome, r.Reason = Unknown, reasonNoOutcome
+	}
+	r.Entry, r.Home, r.Upstream = h.Get(headerEntry), h.Get(headerHome), h.Get(headerUpstream)
+	r.RequestID = h.Get(headerRequestID)
+	// Without an epoch there is none to report.
+	r.Epoch, _ = strconv.ParseUint(h.Get(headerEpoch), 10, 64)
+}
+
+// JSON returns the result as one line.
+func (r Result) JSON() string {
+	b, err := json.Marshal(r)
+	if err != nil {
+		panic("caller: " + err.Error()) // the fields can always be encoded
+	}
+	return string(b)
+}
+
+// Text returns the result as one line with aligned columns.
+func (r Result) Text() string {
+	s := fmt.Sprintf("%-11s %-8s %-14s %-8s %3d  entry %-14s home %-14s upstream %-11s epoch %-3d %8.1f ms  attempts %d",
+		r.Organisation, r.Service, r.Key, r.Outcome, r.Status, dash(r.Entry), dash(r.Home), dash(r.Upstream), r.Epoch, r.LatencyMs, r.Attempts)
+	if r.Reason != "" {
+		s += "  reason " + r.Reason
+	}
+	return strings.TrimRight(s, " ")
+}
+
+func dash(s string) string { return cmp.Or(s, "-") }
