standin: add call

The demo has to send requests of several client accounts without curl and to read from the answer which instances and which upstream took part.

Exit code 0 if answered, 1 if not, 2 for usage errors.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,5 +1,5 @@
-// Command standin plays the platform or upstreams on loopback, for tests and
-// for the demo.
+// Command standin plays the platform, upstreams or a caller on loopback, for
+// tests and for the demo.
 package main
 
 import (
@@ -13,6 +13,7 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
 
+	"dandelionrock.example/dandelionrock/internal/caller"
 	"dandelionrock.example/dandelionrock/internal/stand"
 )
 
@@ -40,9 +41,10 @@
 	p := flags.NewNamedParser("standin", flags.HelpFlag|flags.PassDoubleDash)
 	a := &platformCommand{log: l}
 	b := &upstreamCommand{log: l}
-	if err := errors.CombineErrors(
+	if err := errors.Join(
 		add(p, "platform", "Plays the table service and the list of instances", a),
 		add(p, "upstream", "Plays one upstream, or many from a file", b),
+		add(p, "call", "Sends a request to an instance as a client account", &callCommand{}),
 	); err != nil {
 		l.Error().Err(err).Msg("flags are inconsistent")
 		os.Exit(exitError)
@@ -53,11 +55,11 @@
 	case err == nil:
 	case errors.As(err, &f) && f.Type == flags.ErrHelp:
 		_, _ = io.WriteString(os.Stdout, f.Message+"\n")
-	case f != nil:
+	case f != nil, errors.Is(err, caller.ErrInvalid):
 		l.Error().Err(err).Msg("usage")
 		os.Exit(exitUsage)
 	default:
-		l.Error().Err(err).Msg("stand-in failed")
+		l.Error().Err(err).Msg("command failed")
 		os.Exit(exitError)
 	}
 }
