Add the demo script

The whole path is to be seen with one command: stand-in platform, upstreams of both sample organisations and four instances as separate processes, a loss of an instance, and an order that runs once.

DEMO_PORTS moves all ports, so that the demo can run beside another one.

--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,260 @@
+#!/usr/bin/env bash
+# Runs the stand-in platform, the upstreams of the two sample organisations and
+# four instances as separate processes on loopback, sends requests, kills an
+# instance and shows what happens.
+#
+# DEMO_PORTS: first two digits of the ports, 20 by default: then the addresses
+# are those of examples/. DEMO_BIN: directory of the programs. DEMO_LIMIT:
+# seconds to wait for a process to be ready.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+source scripts/process.sh
+
+bin=${DEMO_BIN:-bin}
+ports=${DEMO_PORTS:-20}
+limit=${DEMO_LIMIT:-10}
+platform=127.0.0.1:${ports}901
+# The upstream of the Guild that runs as a process of its own.
+single=order-01
+
+# Instances: region, failure domain, ports for HTTP and for other instances.
+declare -A instances=(
+  [hobart-a-1]="hobart hobart-a ${ports}001 ${ports}002"
+  [hobart-b-1]="hobart hobart-b ${ports}003 ${ports}004"
+  [fes-a-1]="fes fes-a ${ports}005 ${ports}006"
+  [fes-b-1]="fes fes-b ${ports}007 ${ports}008"
+)
+names=(hobart-a-1 hobart-b-1 fes-a-1 fes-b-1)
+
+# Requests: what, credential of the client account, organisation, service,
+# method, path, key.
+requests=(
+  "quote-lookup guild-quotes-demo guild quotes GET /quotes oyster-soup"
+  "glossary-lookup guild-glossary-demo guild glossary GET /entries pepperberry"
+  "paid-order guild-orders-demo guild orders POST /translations menu-1803"
+  "stock-read cooperative-stock-demo cooperative stock GET /levels cord-6mm"
+  "bulk-order cooperative-orders-demo cooperative orders POST /orders spool-118"
+  "dye-lot-record cooperative-dye-lots-demo cooperative dye-lots PUT /records madder-31"
+)
+
+# say TEXT... prints a line with the seconds since the start.
+say() {
+  now
+  printf '\n[%2d.%03d s] %s\n' $(((ms - started) / 1000)) $(((ms - started) % 1000)) "$*"
+}
+
+# url NAME prints the HTTP address of an instance.
+url() {
+  local a
+  read -ra a <<<"${instances[$1]}"
+  printf 'http://127.0.0.1:%s' "${a[2]}"
+}
+
+# address ORGANISATION UPSTREAM prints the address of an upstream.
+address() { sed -n "s/.*name = \"$2\", address = \"\([^\"]*\)\".*/\1/p" "$work/$1.toml"; }
+
+# write_configurations copies the samples, with their ports moved if asked for.
+write_configurations() {
+  local o
+  for o in guild cooperative; do
+    if [[ $ports == 20 ]]; then
+      cp "examples/$o.toml" "$work/$o.toml"
+    else
+      sed -E "s/\"127\.0\.0\.1:2([12])0([0-9]{2})\"/\"127.0.0.1:$ports\1\2\"/" "examples/$o.toml" >"$work/$o.toml"
+    fi
+  done
+  grep -v "name = \"$single\"" "$work/guild.toml" >"$work/guild-upstreams.toml"
+  cp "$work/cooperative.toml" "$work/cooperative-upstreams.toml"
+}
+
+# write_settings NAME derives an instance's settings from the sample.
+write_settings() {
+  local a
+  read -ra a <<<"${instances[$1]}"
+  sed -e "s|^instance-id = .*|instance-id = \"$1\"|" \
+    -e "s|^region = .*|region = \"${a[0]}\"|" \
+    -e "s|^failure-domain = .*|failure-domain = \"${a[1]}\"|" \
+    -e "s|^http-address = .*|http-address = \"127.0.0.1:${a[2]}\"|" \
+    -e "s|^rpc-address = .*|rpc-address = \"127.0.0.1:${a[3]}\"|" \
+    -e "s|^table-url = .*|table-url = \"http://$platform\"|" \
+    -e "s|^instances-url = .*|instances-url = \"http://$platform/instances\"|" \
+    examples/instance.toml >"$work/$1.toml"
+}
+
+# write_list registers the instances in the platform's list.
+write_list() {
+  local n a
+  for n in "${names[@]}"; do
+    read -ra a <<<"${instances[$n]}"
+    printf '[[instances]]\ninstance-id = "%s"\nregion = "%s"\nfailure-domain = "%s"\n' "$n" "${a[0]}" "${a[1]}"
+    printf 'http-address = "127.0.0.1:%s"\nrpc-address = "127.0.0.1:%s"\nstate = "live"\n' "${a[2]}" "${a[3]}"
+  done >"$work/instances.toml"
+}
+
+check_ports() {
+  local n a p=("${platform##*:}")
+  for n in "${names[@]}"; do
+    read -ra a <<<"${instances[$n]}"
+    p+=("${a[2]}" "${a[3]}")
+  done
+  mapfile -t -O "${#p[@]}" p < <(sed -n 's/.*address = "127\.0\.0\.1:\([0-9]*\)".*/\1/p' "$work/guild.toml" "$work/cooperative.toml")
+  free "${p[@]}"
+}
+
+start_stand_ins() {
+  local o
+  start platform "$bin/standin" platform --address "$platform" --instances "$work/instances.toml"
+  for o in guild cooperative; do
+    start "$o-upstreams" "$bin/standin" upstream --config "$work/$o-upstreams.toml" --drain-time 50ms
+  done
+  start "$single" "$bin/standin" upstream --name "$single" --address "$(address guild "$single")" \
+    --region hobart --failure-domain hobart-a --fencing checked --drain-time 50ms
+  await "$limit" platform "the platform lists the instances" get "$platform" /instances
+  for o in guild/quote-01/guild-upstreams cooperative/stock-01/cooperative-upstreams "guild/$single/$single"; do
+    IFS=/ read -r o u n <<<"$o"
+    await "$limit" "$n" "upstream $u is healthy" get "$(address "$o" "$u")" /health
+  done
+}
+
+start_instances() {
+  local n u
+  for n in "${names[@]}"; do
+    write_settings "$n"
+    start "$n" "$bin/dandelionrock" serve --settings "$work/$n.toml"
+  done
+  for n in "${names[@]}"; do
+    u=$(url "$n")
+    await "$limit" "$n" "instance $n is ready" get "${u#http://}" /readyz
+  done
+}
+
+submit() {
+  local o
+  for o in guild cooperative; do
+    DANDELIONROCK_CREDENTIAL=$o-operator-demo "$bin/dandelionrock" submit --instance "$(url "${names[0]}")" \
+      --wait --wait-limit "${limit}s" "$work/$o.toml" || fail "submit of $o" "${names[0]}"
+  done
+}
+
+# call NUMBER OPTIONS... sends a request and sets json and text to its result.
+call() {
+  local r out
+  read -ra r <<<"${requests[$1]}"
+  shift
+  out=$(DANDELIONROCK_CREDENTIAL=${r[1]} "$bin/standin" call --text --organisation "${r[2]}" --service "${r[3]}" \
+    --method "${r[4]}" --path "${r[5]}" --key "${r[6]}" "$@" 2>>"$work/call.log") || true
+  json=${out%%$'\n'*} text=${out#*$'\n'}
+}
+
+# send_all sends each request to another instance and keeps the results.
+send_all() {
+  local i n o
+  for i in "${!requests[@]}"; do
+    n=${names[i % ${#names[@]}]} o=()
+    [[ ${requests[i]} != *" POST "* ]] || o=(--order-id auto)
+    call "$i" --url "$(url "$n")" --retry-for "${limit}s" --body "demo" "${o[@]}"
+    [[ $(field outcome "$json") == answered ]] || fail "${requests[i]%% *} through $n: $text" "$n"
+    results[i]=$json
+    ((i > 0)) || first=$(field ended-ms "$json")
+    printf '%-16s%s\n' "${requests[i]%% *}" "$text"
+  done
+}
+
+# most_homes prints the instance that is home of most of the requests' keys.
+most_homes() {
+  local r
+  for r in "${results[@]}"; do
+    field home "$r"
+    echo
+  done | sort | uniq -c | sort -rn | awk 'NR == 1 { print $2 }'
+}
+
+# repeat_order TEXT NAME repeats the paid order through an instance and counts
+# its runs.
+repeat_order() {
+  local id s=0 n u
+  id=$(field order-id "${results[2]}")
+  call 2 --url "$(url "$2")" --order-id "$id" --attempt 2 --body "demo"
+  printf '%-16s%s\n' "$1" "$text"
+  for u in $(sed -n 's/.*name = "\(order-[0-9]*\)".*/\1/p' "$work/guild.toml"); do
+    n=$(get "$(address guild "$u")" /runs) || fail "runs of $u" "$(field upstream "${results[2]}")"
+    n=$(field "$id" "$n") || continue
+    echo "GET /runs of $u: order $id ran $n time(s)"
+    s=$((s + n))
+  done
+  ((s == 1)) || fail "the order ran $s times" "$(field home "$json")"
+}
+
+# kill_home kills an instance and reads each key through the others at once.
+kill_home() {
+  local i n p=() u=()
+  for n in "${names[@]}"; do
+    [[ $n == "$victim" ]] || u+=(--url "$(url "$n")")
+  done
+  now
+  killed=$ms
+  destroy "$victim"
+  for i in "${!requests[@]}"; do
+    { call "$i" "${u[@]}" --method GET --retry-for "${limit}s" && echo "$json" >"$work/after-$i"; } &
+    p+=($!)
+  done
+  wait "${p[@]}"
+}
+
+show_gaps() {
+  local i b a g max=0
+  printf '%-12s %-9s %-12s  %-11s %-12s %-12s %-12s %5s  %s\n' organisation service key upstream "home before" "home after" entry epoch gap
+  for i in "${!requests[@]}"; do
+    b=${results[i]} a=$(<"$work/after-$i")
+    [[ $(field outcome "$a") == answered ]] || fail "no answer after the loss of $victim: $a" "$(field entry "$a")"
+    g=$(($(field ended-ms "$a") - killed))
+    ((g <= max)) || max=$g
+    printf '%-12s %-9s %-12s  %-11s %-12s %-12s %-12s %5s  %d ms\n' "$(field organisation "$a")" "$(field service "$a")" \
+      "$(field key "$a")" "$(field upstream "$a")" "$(field home "$b")" "$(field home "$a")" "$(field entry "$a")" "$(field epoch "$a")" "$g"
+  done
+  echo "longest gap from the kill to an answer: $max ms"
+}
+
+# show_state prints the status of an instance and the end of the timeline.
+show_state() {
+  local n o=()
+  for n in "${names[@]}"; do
+    [[ $n == "$victim" ]] || o+=(--instance "$(url "$n")")
+  done
+  say "status of $survivor"
+  "$bin/dandelionrock" status --instance "$(url "$survivor")" >"$work/status" || fail "status" "$survivor"
+  awk '/^HOME/ { h = NR } !h || NR <= h + 8 { print } END { if (NR > h + 8) print "and " NR - h - 8 " more homes" }' "$work/status"
+  say "last events of the instances that run"
+  "$bin/dandelionrock" timeline "${o[@]}" >"$work/timeline" || fail "timeline" "$survivor"
+  tail -n 12 "$work/timeline"
+}
+
+open_work
+now
+started=$ms
+results=()
+write_configurations
+write_list
+check_ports
+start_stand_ins
+say "platform and ${#pids[@]} stand-in processes run"
+start_instances
+say "${#names[@]} instances are ready"
+submit
+say "requests of six client accounts"
+send_all
+echo "first request answered $((first - started)) ms after the start of this script"
+victim=$(most_homes)
+for survivor in "${names[@]}"; do [[ $survivor == "$victim" ]] || break; done
+say "the paid order again, with the same order id"
+repeat_order "before the loss" "${names[3]}"
+say "SIGKILL for $victim, then a read of each key through the others"
+kill_home
+show_gaps
+say "the paid order again, with the same order id"
+repeat_order "after the loss" "$survivor"
+show_state
+say "stopping"
+stop "${!instances[@]}"
+finish
+say "done"
