--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -113,7 +113,7 @@
 // mayRepeat reports whether a further attempt is safe and can help.
 func (c *Config) mayRepeat(r Result) bool {
 	switch r.Status {
-	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusNotFound, http.StatusRequestEntityTooLarge:
+	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound, http.StatusRequestEntityTooLarge:
 		return false
 	}
 	return r.Outcome == NotRun || r.Outcome == Unknown && c.Idempotent
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"dandelionrock.example/dandelionrock/internal/header"
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/sebdah/goldie/v2"
@@ -42,8 +43,8 @@
 	return func(w http.ResponseWriter, _ *http.Request) {
 		h := w.Header()
 		for k, v := range map[string]string{
-			headerOutcome: string(o), headerReason: reason, headerEntry: "hobart-a-1", headerHome: "hobart-b-1",
-			headerUpstream: "quote-07", headerEpoch: "3", headerRequestID: "5e1f",
+			header.Outcome: string(o), header.Reason: reason, header.Entry: "hobart-a-1", header.Home: "hobart-b-1",
+			header.Upstream: "quote-07", header.Epoch: "3", header.RequestID: "5e1f",
 		} {
 			h.Set(k, v)
 		}
@@ -104,7 +105,7 @@
 			if len(q) != c.calls || r.Attempts != c.calls {
 				t.Errorf("got %d calls and %d attempts, want %d", len(q), r.Attempts, c.calls)
 			}
-			if a := q[len(q)-1].Header.Get(headerAttempt); a != c.attempt {
+			if a := q[len(q)-1].Header.Get(header.Attempt); a != c.attempt {
 				t.Errorf("last attempt is %s, want %s", a, c.attempt)
 			}
 		})
@@ -124,9 +125,9 @@
 		t.Fatal(err)
 	}
 	q := i.requests()[0]
-	u, err := uuid.Parse(q.Header.Get(headerOrderID))
+	u, err := uuid.Parse(q.Header.Get(header.OrderID))
 	if err != nil || u.Version() != 7 || r.OrderID != u.String() {
-		t.Errorf("order id is %q, %v", q.Header.Get(headerOrderID), err)
+		t.Errorf("order id is %q, %v", q.Header.Get(header.OrderID), err)
 	}
 	got := []string{
 		q.Method, q.RequestURI, q.Header.Get("Authorization"), q.Header.Get("dandelionrock-key"),
--- a/internal/caller/result.go
+++ b/internal/caller/result.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 
+	"dandelionrock.example/dandelionrock/internal/header"
 	"github.com/cockroachdb/errors"
 )
 
@@ -18,11 +19,11 @@
 
 const (
 	// Answered means that the upstream's answer arrived whole.
-	Answered Outcome = "answered"
+	Answered Outcome = header.Answered
 	// NotRun means that the request was not executed.
-	NotRun Outcome = "not-run"
+	NotRun Outcome = header.NotRun
 	// Unknown means that the request may have been executed.
-	Unknown Outcome = "unknown"
+	Unknown Outcome = header.Unknown
 )
 
 // Reasons that the caller itself finds.
@@ -79,16 +80,16 @@
 // state copies what the headers say.
 func (r *Result) state(p *http.Response) {
 	h := p.Header
-	r.Status, r.Outcome, r.Reason = p.StatusCode, Outcome(h.Get(headerOutcome)), h.Get(headerReason)
+	r.Status, r.Outcome, r.Reason = p.StatusCode, Outcome(h.Get(header.Outcome)), h.Get(header.Reason)
 	switch r.Outcome {
 	case Answered, NotRun, Unknown:
 	default:
 		r.Outcome, r.Reason = Unknown, reasonNoOutcome
 	}
-	r.Entry, r.Home, r.Upstream = h.Get(headerEntry), h.Get(headerHome), h.Get(headerUpstream)
-	r.RequestID = h.Get(headerRequestID)
+	r.Entry, r.Home, r.Upstream = h.Get(header.Entry), h.Get(header.Home), h.Get(header.Upstream)
+	r.RequestID = h.Get(header.RequestID)
 	// Without an epoch there is none to report.
-	r.Epoch, _ = strconv.ParseUint(h.Get(headerEpoch), 10, 64)
+	r.Epoch, _ = strconv.ParseUint(h.Get(header.Epoch), 10, 64)
 }
 
 // JSON returns the result as one line.
