demo: check the exit codes, spread the reads over the instances

The instances that get SIGTERM have to end with exit code 0; the script fails otherwise. The reads after the loss begin at different instances.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -143,6 +143,7 @@
   shift
   out=$(DANDELIONROCK_CREDENTIAL=${r[1]} "$bin/standin" call --text --organisation "${r[2]}" --service "${r[3]}" \
     --method "${r[4]}" --path "${r[5]}" --key "${r[6]}" "$@" 2>>"$work/call.log") || true
+  [[ -n $out ]] || fail "the call of ${r[0]} printed no result" call
   json=${out%%$'\n'*} text=${out#*$'\n'}
 }
 
@@ -169,23 +170,26 @@
   done | sort | uniq -c | sort -rn | awk 'NR == 1 { print $2 }'
 }
 
-# repeat_order TEXT NAME repeats the paid order through an instance and counts
-# its runs.
+# repeat_order NAME repeats the paid order through an instance and counts its
+# runs at all upstreams.
 repeat_order() {
   local id s=0 n u
   id=$(field order-id "${results[2]}")
-  call 2 --url "$(url "$2")" --order-id "$id" --attempt 2 --body "demo"
-  printf '%-16s%s\n' "$1" "$text"
+  call 2 --url "$(url "$1")" --order-id "$id" --attempt 2 --body "demo"
+  printf '%-16s%s\n' paid-order "$text"
+  if [[ $(field reason "$json") == order-record-lost ]]; then
+    echo "the record of the order was lost with its home, so that the order is not run again"
+  fi
   for u in $(sed -n 's/.*name = "\(order-[0-9]*\)".*/\1/p' "$work/guild.toml"); do
-    n=$(get "$(address guild "$u")" /runs) || fail "runs of $u" "$(field upstream "${results[2]}")"
+    n=$(get "$(address guild "$u")" /runs) || fail "GET /runs of $u" guild-upstreams
     n=$(field "$id" "$n") || continue
     echo "GET /runs of $u: order $id ran $n time(s)"
     s=$((s + n))
   done
-  ((s == 1)) || fail "the order ran $s times" "$(field home "$json")"
+  ((s == 1)) || fail "the order ran $s times" "$(field entry "$json")"
 }
 
-# kill_home kills an instance and reads each key through the others at once.
+# kill_home kills an instance and at once reads each key through the others.
 kill_home() {
   local i n p=() u=()
   for n in "${names[@]}"; do
@@ -197,20 +201,23 @@
   for i in "${!requests[@]}"; do
     { call "$i" "${u[@]}" --method GET --retry-for "${limit}s" && echo "$json" >"$work/after-$i"; } &
     p+=($!)
+    u=("${u[@]:2}" "${u[@]:0:2}")
   done
-  wait "${p[@]}"
+  for i in "${p[@]}"; do wait "$i" || fail "a read after the loss of $victim" call; done
 }
 
 show_gaps() {
-  local i b a g max=0
-  printf '%-12s %-9s %-12s  %-11s %-12s %-12s %-12s %5s  %s\n' organisation service key upstream "home before" "home after" entry epoch gap
+  local i a b g max=0 f='%-12s %-9s %-12s %-11s %5s  %-12s %-12s %-12s %s\n'
+  # shellcheck disable=SC2059
+  printf "$f" organisation service key upstream epoch "home before" "home after" entry gap
   for i in "${!requests[@]}"; do
     b=${results[i]} a=$(<"$work/after-$i")
     [[ $(field outcome "$a") == answered ]] || fail "no answer after the loss of $victim: $a" "$(field entry "$a")"
     g=$(($(field ended-ms "$a") - killed))
     ((g <= max)) || max=$g
-    printf '%-12s %-9s %-12s  %-11s %-12s %-12s %-12s %5s  %d ms\n' "$(field organisation "$a")" "$(field service "$a")" \
-      "$(field key "$a")" "$(field upstream "$a")" "$(field home "$b")" "$(field home "$a")" "$(field entry "$a")" "$(field epoch "$a")" "$g"
+    # shellcheck disable=SC2059
+    printf "$f" "$(field organisation "$a")" "$(field service "$a")" "$(field key "$a")" "$(field upstream "$a")" \
+      "$(field epoch "$a")" "$(field home "$b")" "$(field home "$a")" "$(field entry "$a")" "$g ms"
   done
   echo "longest gap from the kill to an answer: $max ms"
 }
@@ -229,6 +236,16 @@
   tail -n 12 "$work/timeline"
 }
 
+# stop_instances ends the instances that run, all at a time.
+stop_instances() {
+  local n
+  stop "${names[@]}"
+  for n in "${names[@]}"; do
+    [[ $n == "$victim" || ${codes[$n]} == 0 ]] || fail "$n ended with exit code ${codes[$n]}" "$n"
+  done
+  echo "the other instances ended with exit code 0"
+}
+
 open_work
 now
 started=$ms
@@ -237,7 +254,7 @@
 write_list
 check_ports
 start_stand_ins
-say "platform and ${#pids[@]} stand-in processes run"
+say "the platform and the upstreams run in ${#pids[@]} processes"
 start_instances
 say "${#names[@]} instances are ready"
 submit
@@ -246,15 +263,15 @@
 echo "first request answered $((first - started)) ms after the start of this script"
 victim=$(most_homes)
 for survivor in "${names[@]}"; do [[ $survivor == "$victim" ]] || break; done
-say "the paid order again, with the same order id"
-repeat_order "before the loss" "${names[3]}"
+say "the paid order again through ${names[3]}, with the same order id"
+repeat_order "${names[3]}"
 say "SIGKILL for $victim, then a read of each key through the others"
 kill_home
 show_gaps
-say "the paid order again, with the same order id"
-repeat_order "after the loss" "$survivor"
+say "the paid order again through $survivor, with the same order id"
+repeat_order "$survivor"
 show_state
-say "stopping"
-stop "${!instances[@]}"
+say "SIGTERM for the other instances"
+stop_instances
 finish
 say "done"
--- a/scripts/process.sh
+++ b/scripts/process.sh
@@ -1,8 +1,9 @@
 # Functions for scripts that run several processes. To be sourced by bash with
 # set -euo pipefail.
 
-declare -A pids=() # process id of each running process, by its name
-work=              # directory for logs and generated files
+declare -A pids=()  # process id of each running process, by its name
+declare -A codes=() # exit code of each process that has ended, by its name
+work=               # directory for logs and generated files
 
 # now sets ms to the Unix time in milliseconds.
 now() { ms=$((${EPOCHREALTIME/[.,]/} / 1000)); }
@@ -52,10 +53,12 @@
   return 1
 }
 
-# destroy NAME ends a process with SIGKILL.
+# destroy NAME ends a process with SIGKILL, unless it has ended, and keeps its
+# exit code in codes.
 destroy() {
   kill -KILL "${pids[$1]}" 2>/dev/null || true
-  wait "${pids[$1]}" 2>/dev/null || true
+  codes[$1]=0
+  wait "${pids[$1]}" 2>/dev/null || codes[$1]=$?
   unset "pids[$1]"
 }
 
