--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -40,6 +40,9 @@
 	ReasonRetryBudget = "retry-budget"
 )
 
+// operatorPath is no name of an organisation.
+const operatorPath = "operate"
+
 const (
 	// headerTimeout bounds how long a caller may take for the headers.
 	headerTimeout = 10 * time.Second
@@ -49,10 +52,10 @@
 
 // NewServer returns a kratos server on l. Paths of two or more segments go to
 // caller, without passing kratos' router, which would redirect those that it
-// considers unclean. Other paths, and those below /-/, are for the operator:
-// the user of the server registers them.
+// considers unclean. Other paths, and those below /operate/, are for the operator and
+// are registered with Handle or HandlePrefix of the server.
 func NewServer(l net.Listener, caller http.Handler) *khttp.Server {
-	s := khttp.NewServer(khttp.Listener(l), khttp.Timeout(0), khttp.StrictSlash(false), khttp.Filter(func(next http.Handler) http.Handler {
+	filter := func(next http.Handler) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if isOperator(r.URL.Path) {
 				next.ServeHTTP(w, r)
@@ -60,8 +63,11 @@
 			}
 			caller.ServeHTTP(w, r)
 		})
-	}))
-	s.HandlePrefix("/", http.NotFoundHandler())
+	}
+	// Without a handler for paths that are not found kratos would use the
+	// global one of net/http.
+	s := khttp.NewServer(khttp.Listener(l), khttp.Timeout(0), khttp.StrictSlash(false), khttp.Filter(filter),
+		khttp.NotFoundHandler(caller), khttp.MethodNotAllowedHandler(caller))
 	s.ReadHeaderTimeout, s.IdleTimeout, s.MaxHeaderBytes = headerTimeout, idleTimeout, maxHeader
 	return s
 }
@@ -70,5 +76,5 @@
 func isOperator(p string) bool {
 	p = strings.TrimPrefix(p, "/")
 	first, rest, ok := strings.Cut(p, "/")
-	return !ok || first == "-" || rest == ""
+	return !ok || first == operatorPath || rest == ""
 }
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -32,13 +32,19 @@
 	Map(organisation, service string) *shard.Map
 }
 
-// Upstream carries messages to the upstream.
-type Upstream interface {
-	// Grant sends a grant message and returns the answer.
+// Granter sends grant messages to the upstream.
+type Granter interface {
+	// Grant sends a message and returns the answer.
 	Grant(c context.Context, m *schema.GrantRequest) (*schema.GrantReply, error)
-	// Do sends a request with its token. clean is whether the upstream has
-	// certainly ended, or never begun, its work on the request.
-	Do(c context.Context, t fence.Token, r *schema.ForwardRequest) (reply *schema.ForwardReply, clean bool)
+	Close() error
+}
+
+// Sender sends requests to the upstream.
+type Sender interface {
+	// Send sends a request at most once and returns its outcome. Permit is
+	// called immediately before the request is written; with an error from it
+	// nothing is written.
+	Send(c context.Context, q *schema.ForwardRequest, t fence.Token, permit func() error) *schema.ForwardReply
 	Close() error
 }
 
@@ -56,7 +62,8 @@
 	Instance  string
 	Directory Directory
 	Store     table.Store
-	Carrier   Upstream
+	Granter   Granter
+	Sender    Sender
 	// Announce tells the other instances of rows that are known to be
 	// committed.
 	Announce func(rows []table.Row)
@@ -72,7 +79,7 @@
 // Home is one term of the home of one upstream. Use New.
 type Home struct {
 	c      Config
-	orders *order.Book[*schema.ForwardReply]
+	orders *order.Record[*schema.ForwardReply]
 	gate   *queue.Gate[string]
 	hot    *load
 
@@ -80,7 +87,8 @@
 	// lease, flights, moves and splits are guarded by mu.
 	lease   *lease.Home
 	flights map[shard.ID]*flight
-	// moves holds the wanted owner of each shard that shall move.
+	// moves holds the wanted owner of each shard that shall move, or
+	// mergeTarget.
 	moves  map[shard.ID]string
 	splits map[shard.KeyHash]bool
 	// synced is whether the shards were read by a read that was sent after the
@@ -88,6 +96,9 @@
 	synced bool
 	// leaving is when the upstream was first seen draining, 0 if it is not.
 	leaving clock.Time
+	// evicted is whether the upstream shall lose its shards though it doesn't
+	// drain.
+	evicted bool
 	// pending is a transaction whose outcome is not known yet.
 	pending *table.Txn
 
@@ -118,7 +129,7 @@
 	h := &Home{
 		c:          c,
 		lease:      lease.New(c.Lease),
-		orders:     order.New[*schema.ForwardReply](order.Options{Since: c.Taken}),
+		orders:     order.NewRecord(order.Options{Term: c.Taken}, replySize),
 		gate:       queue.New[string](queue.Options{Slots: c.Upstream.Slots}),
 		hot:        newLoad(),
 		flights:    make(map[shard.ID]*flight),
@@ -177,8 +188,10 @@
 	}
 	c, f := context.WithTimeout(h.life, h.c.Lease.TTL/grantTimeout)
 	defer f()
-	a, err := h.c.Carrier.Grant(c, m)
+	a, err := h.c.Granter.Grant(c, m)
 	if err != nil {
+		// The shards of an upstream that doesn't answer have to be known, too.
+		signal(h.confirmNow)
 		return
 	}
 	h.mu.Lock()
@@ -201,7 +214,7 @@
 // watchDrain records when the upstream began to drain. The caller holds mu.
 func (h *Home) watchDrain(now clock.Time) {
 	switch {
-	case !h.lease.Draining():
+	case !h.lease.Draining() && !h.evicted:
 		h.leaving = 0
 	case h.leaving == 0:
 		h.leaving = now
@@ -213,8 +226,12 @@
 // a failing store is not flooded.
 const confirmPause = 50 * time.Millisecond
 
+// confirmations is the number of reads of the home row within one hold time, so
+// that some may fail.
+const confirmations = 4
+
 func (h *Home) confirmLoop() {
-	for h.wait(h.confirmNow, time.Hour) {
+	for h.wait(h.confirmNow, h.c.Lease.Hold/confirmations) {
 		if h.needsConfirm() && !h.confirm() && h.wait(nil, confirmPause) {
 			signal(h.confirmNow)
 		}
@@ -224,7 +241,11 @@
 func (h *Home) needsConfirm() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.lease.Superseded() && (h.lease.NeedsConfirm() || !h.synced)
+	if h.lease.Superseded() {
+		return false
+	}
+	due := h.lease.State(h.c.Now()).ConfirmedFor < h.c.Lease.Hold*(confirmations-1)/confirmations
+	return due || h.lease.NeedsConfirm() || !h.synced
 }
 
 // confirm reads the home row and the shards in one read and reports whether
@@ -291,11 +312,13 @@
 }
 
 // Unavailable reports whether the upstream is silent or draining and should
-// get no shards.
+// get no shards. Half of the time to live is two missed renewals; the others
+// must know before the grants expire, or upstreams that are lost together are
+// evacuated to one another.
 func (h *Home) Unavailable() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.leaving != 0 || h.silent(h.c.Now()) > h.c.Lease.TTL
+	return h.leaving != 0 || h.silent(h.c.Now()) > h.c.Lease.TTL/2
 }
 
 // silent returns for how long the upstream has not answered in this term.
@@ -314,7 +337,22 @@
 	s = h.lease.State(h.c.Now())
 	h.mu.Unlock()
 	q := h.gate.Stats()
-	return s, q.Running, q.Queued
+	return s, q.InFlight, q.Queued
+}
+
+// Configuration returns the configuration that the home runs with.
+func (h *Home) Configuration() (*config.Service, *config.Upstream) {
+	return h.c.Service, h.c.Upstream
+}
+
+// Evict makes the home move all shards away from the upstream.
+func (h *Home) Evict() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.evicted = true
+	if h.leaving == 0 {
+		h.leaving = h.c.Now()
+	}
 }
 
 // Key returns the key of the home row.
@@ -331,7 +369,8 @@
 	h.mu.Unlock()
 	h.stop()
 	h.done.Wait()
-	return h.c.Carrier.Close()
+	err := h.c.Granter.Close()
+	return errors.CombineErrors(err, h.c.Sender.Close())
 }
 
 // Retire stops dispatching and waits until the upstream executes nothing more
--- a/internal/home/move.go
+++ b/internal/home/move.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 	"google.golang.org/protobuf/proto"
 
 	"dandelionrock.example/dandelionrock/event"
@@ -27,8 +26,9 @@
 	storePause = 250 * time.Millisecond
 )
 
-// Move asks for shards to be moved to other upstreams, and for hot keys to get
-// a shard of their own. Shards that the upstream does not own are ignored.
+// Move asks for shards to be moved to other upstreams, for hot keys to get a
+// shard of their own, and for such shards to be given up. Shards that the
+// upstream does not own are ignored.
 func (h *Home) Move(m *schema.MoveRequest) {
 	h.mu.Lock()
 	for _, t := range m.GetTargets() {
@@ -39,6 +39,9 @@
 	for _, k := range m.GetSplitKeys() {
 		h.splits[shard.Hash(h.c.Service.Name, k)] = true
 	}
+	for _, k := range m.GetMergeHashes() {
+		h.planMerge(shard.KeyHash(k))
+	}
 	h.mu.Unlock()
 	signal(h.moveNow)
 }
@@ -73,7 +76,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, m := range l {
-		if h.moves[m.Shard] == "" {
+		if _, busy := h.moves[m.Shard]; !busy {
 			h.moves[m.Shard] = m.To
 		}
 	}
@@ -125,50 +128,40 @@
 			if shard.BlockOf(i, h.c.Service.ShardCount) != b.Number() {
 				continue
 			}
-			e, err := b.Entry(i)
-			if err != nil || e.Upstream != h.c.Upstream.Name {
+			e, ok := b.Entry(i)
+			if !ok || e.Upstream != h.c.Upstream.Name {
 				continue
 			}
-			if x, err = x.Move(i, to); err != nil {
+			y, err := h.change(x, i, to)
+			if err != nil {
 				return nil, err
 			}
+			x = y
 		}
 		return x, nil
 	})
 	h.commit(t, err)
 }
 
-// commitSplits gives hot keys a shard of their own at their present owner.
-func (h *Home) commitSplits() {
-	h.mu.Lock()
-	l := h.splits
-	h.splits = make(map[shard.KeyHash]bool)
-	h.mu.Unlock()
-	if len(l) == 0 {
-		return
+// change returns b with a shard moved, or merged into its base shard if that is
+// what it was released for.
+func (h *Home) change(b *shard.Block, i shard.ID, to string) (*shard.Block, error) {
+	if to != mergeTarget {
+		return b.Move(i, to)
 	}
-	t, err := h.txn(func(b *shard.Block) (*shard.Block, error) {
-		x := b
-		for k := range l {
-			i := shard.Base(k, h.c.Service.ShardCount)
-			e, err := b.Entry(i)
-			if err != nil || e.Upstream != h.c.Upstream.Name {
-				continue
-			}
-			if y, _, err := x.Split(k); err == nil {
-				x = y
-			}
+	for _, o := range b.Overrides() {
+		if o.ID == i {
+			return b.Merge(o.Hash)
 		}
-		return x, nil
-	})
-	h.commit(t, err)
+	}
+	return nil, shard.ErrNoShard
 }
 
 // txn builds a transaction that applies change to every block of the service.
 // It is conditional on the home row and on the blocks, so that it can't land
 // after another home or another change has come first.
 func (h *Home) txn(change func(b *shard.Block) (*shard.Block, error)) (*table.Txn, error) {
-	x := &table.Txn{ID: table.TxnID(uuid.NewString()), Checks: []table.Check{{Key: h.c.Key, Version: h.c.Version}}}
+	x := &table.Txn{ID: table.NewTxnID(), Checks: []table.Check{{Key: h.c.Key, Version: h.c.Version}}}
 	for n := range shard.Blocks(h.c.Service.ShardCount) {
 		r, ok := h.c.Directory.Row(route.BlockKey(h.c.Lease.Organisation, h.c.Service.Name, n))
 		if !ok {
@@ -255,20 +248,21 @@
 
 // finish applies and announces the rows of a committed transaction.
 func (h *Home) finish(t *table.Txn) {
-	rows := t.After()
+	rows := t.Rows()
 	h.c.Directory.Apply(rows...)
 	m := h.c.Directory.Map(h.c.Lease.Organisation, h.c.Service.Name)
 	h.mu.Lock()
 	h.pending = nil
 	n := 0
 	for i := range h.moves {
-		if e, ok := m.Entry(i); ok && e.Upstream != h.c.Upstream.Name {
+		if e, ok := m.Entry(i); !ok || e.Upstream != h.c.Upstream.Name {
 			h.lease.Remove(i)
 			delete(h.moves, i)
 			n++
 		}
 	}
 	h.mu.Unlock()
+	h.holdSplits(m)
 	h.c.Announce(rows)
 	h.Sync()
 	h.c.Events.Record("move-committed", string(h.c.Key), event.Int("shards", n), event.String("transaction", string(t.ID)))
