bench: measure throughput against the bare path, and unavailable time

The targets of the design had no measurement. scripts/bench.sh starts a deployment of processes for each experiment; cmd/bench writes its files, generates load and computes the figures.

--- a/Makefile
+++ b/Makefile
@@ -34,8 +34,8 @@
 demo: build ## Runs the whole path as separate processes on loopback.
 	bash scripts/demo.sh
 
-bench: build ## Prints one JSON line for each figure.
-	bash scripts/bench.sh
+bench: build ## Prints one JSON line for each figure, or for those in FIGURES=name,...
+	bash scripts/bench.sh --figures "$(FIGURES)" --seed "$(or $(SEED),1)"
 
 generate: ## Regenerates schema/*.pb.go; needs protoc and protoc-gen-go.
 	protoc --proto_path=. --go_out=. --go_opt=module=dandelionrock.example/dandelionrock schema/*.proto
--- /dev/null
+++ b/cmd/bench/wait.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dandelionrock.example/dandelionrock/internal/admin"
+)
+
+type waitCommand struct {
+	Dir   string        `long:"dir" required:"yes" description:"directory of the deployment"`
+	Limit time.Duration `long:"limit" default:"20s" description:"longest wait"`
+}
+
+// Execute submits the configurations and waits.
+func (c *waitCommand) Execute([]string) error {
+	l, err := readLayout(c.Dir)
+	if err != nil {
+		return err
+	}
+	x, f := context.WithTimeout(context.Background(), c.Limit)
+	defer f()
+	for o, p := range l.Texts {
+		b, err := os.ReadFile(l.path(p))
+		if err != nil {
+			return err
+		}
+		if err := l.submitFirst(x, o, b); err != nil {
+			return err
+		}
+	}
+	if err := l.settled(x); err != nil {
+		l.saveTimeline(context.Background(), "timeline-start.txt", time.Time{})
+		return err
+	}
+	return nil
+}
+
+// submitFirst submits a configuration as version 1 as soon as an instance
+// takes it.
+func (l *layout) submitFirst(x context.Context, organisation string, text []byte) error {
+	for {
+		_, err := l.operator(l.Instances[0], organisation).Submit(x, organisation, text, 0)
+		if err == nil || !errors.Is(err, admin.ErrNotRun) {
+			return err
+		}
+		if !sleep(x, 50*time.Millisecond) {
+			return errors.Wrap(err, organisation)
+		}
+	}
+}
+
+func sleep(x context.Context, d time.Duration) bool {
+	select {
+	case <-x.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func (l *layout) operator(i instance, organisation string) *admin.Client {
+	return &admin.Client{URL: "http://" + i.HTTP, Credential: operatorCredential + organisation}
+}
+
+// homes returns the homes that run, with the instance of each.
+func (l *layout) homes(x context.Context) (map[string]admin.Home, map[string]string) {
+	h, at := map[string]admin.Home{}, map[string]string{}
+	for _, i := range l.Instances {
+		c, f := context.WithTimeout(x, time.Second)
+		s, err := l.operator(i, "").Status(c)
+		f()
+		if err != nil {
+			continue
+		}
+		for _, y := range s.Homes {
+			k := y.Organisation + "/" + y.Service + "/" + y.Upstream
+			if o, ok := h[k]; !ok || o.Term < y.Term {
+				h[k], at[k] = y, i.ID
+			}
+		}
+	}
+	return h, at
+}
+
+// settled waits until the upstreams serve all shards.
+func (l *layout) settled(x context.Context) error {
+	for {
+		h, _ := l.homes(context.WithoutCancel(x))
+		n := 0
+		for _, y := range h {
+			if y.State == "serving" {
+				n += y.Shards
+			}
+		}
+		if n == l.Shards {
+			return nil
+		}
+		if !sleep(x, 50*time.Millisecond) {
+			return errors.Newf("%d of %d shards are served; homes by state: %v", n, l.Shards, states(h))
+		}
+	}
+}
+
+// states counts the homes and their shards by state.
+func states(h map[string]admin.Home) []string {
+	homes, shards := map[string]int{}, map[string]int{}
+	for _, y := range h {
+		homes[y.State]++
+		shards[y.State] += y.Shards
+	}
+	var s []string
+	for k, y := range h {
+		if y.Shards == 0 {
+			s = append(s, k+" without shards")
+		}
+	}
+	for k, m := range homes {
+		s = append(s, fmt.Sprintf("%s: %d homes with %d shards", k, m, shards[k]))
+	}
+	slices.Sort(s)
+	return s
+}
