Test the ownership rules by stateful fuzzing

Change: a model with a table, a faulty network, instances and upstreams drives the real Home and Guard in gopter walks; an oracle watches that no two upstreams would execute for a shard, no two homes use one unfenced upstream, no acknowledged assignment vanishes and no term or epoch falls; recovery steps demand that every shard moves and is served once faults end.

--- /dev/null
+++ b/lease/instance_test.go
@@ -0,0 +1,372 @@
+package lease
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dandelionrock.example/dandelionrock/fence"
+	"dandelionrock.example/dandelionrock/internal/clock"
+	"dandelionrock.example/dandelionrock/shard"
+)
+
+// instance runs the homes that it has taken over. It stands for the part of the
+// daemon that does the I/O of a Home.
+type instance struct {
+	w    *world
+	id   party
+	run  int
+	txns int
+	// view holds the newest row seen of each key.
+	view  rows
+	seats []*seat
+	ticks int
+}
+
+// seat is a home of an instance.
+type seat struct {
+	h        *Home
+	upstream *upstream
+	// row is the home row as this instance wrote it.
+	row row
+	// taken is when the commit of the term was known.
+	taken clock.Time
+	// ready is set once the rows were read after the takeover.
+	ready, retired, leaving bool
+	moves                   []*move
+}
+
+// move is a shard on its way to another upstream.
+type move struct {
+	shard   shard.ID
+	to      int
+	sending bool
+}
+
+// start begins a run without any memory of the runs before.
+func (i *instance) start() {
+	i.run++
+	i.view, i.seats = rows{}, make([]*seat, len(i.w.upstreams))
+	i.tick()
+}
+
+func (i *instance) clock() clock.Time { return i.w.clock(i.id) }
+
+// after runs f after d unless the instance is lost before.
+func (i *instance) after(d time.Duration, f func()) {
+	n := i.run
+	i.w.at(i.w.now.Add(d), i.id, func() {
+		if i.run == n {
+			f()
+		}
+	})
+}
+
+// call runs f at another party and then g here with the result.
+func call[T any](i *instance, to party, f func() T, g func(T)) {
+	n := i.run
+	i.w.send(i.id, to, func() {
+		if to == theTable && i.w.outage {
+			return
+		}
+		v := f()
+		i.w.send(to, i.id, func() {
+			if i.run == n {
+				g(v)
+			}
+		})
+	})
+}
+
+// read passes the rows of the table as of one instant to f.
+func (i *instance) read(f func(rows)) { call(i, theTable, i.w.table.snapshot, f) }
+
+// commit sends x until its outcome is known and passes it to f.
+func (i *instance) commit(x txn, f func(bool, rows)) {
+	i.txns++
+	x.id = fmt.Sprintf("%d.%d.%d", i.id, i.run, i.txns)
+	done := false
+	end := func(ok bool, r rows) {
+		if !done {
+			done = true
+			i.w.table.acknowledge(x, ok)
+			if !ok {
+				i.w.stats["refused write"]++
+			}
+			f(ok, r)
+		}
+	}
+	var try func(first bool)
+	try = func(first bool) {
+		if done {
+			return
+		}
+		if !first {
+			i.w.stats["write sent again"]++
+		}
+		if i.w.without == ruleSettle && !first {
+			i.read(func(r rows) { end(r.committed(x), r) })
+		} else {
+			i.attempt(x, end)
+		}
+		i.after(200*time.Millisecond, func() { try(false) })
+	}
+	try(true)
+}
+
+func (i *instance) attempt(x txn, f func(bool, rows)) {
+	ok := false
+	call(i, theTable, func() rows {
+		ok = i.w.table.commit(x) || ok
+		return i.w.table.snapshot()
+	}, func(r rows) { f(ok || r.committed(x), r) })
+}
+
+// learn applies rows to the view and to the homes; only newer ones count.
+func (i *instance) learn(r rows) {
+	for k, v := range r {
+		if v.version > i.view[k].version {
+			i.view[k] = v
+		}
+	}
+	for u, s := range i.seats {
+		if s == nil {
+			continue
+		}
+		if i.view[u].version > s.row.version && !s.h.Superseded() {
+			i.w.stats["superseded by row"]++
+			s.h.Supersede()
+		}
+		if s.h.Superseded() {
+			i.seats[u] = nil
+			continue
+		}
+		for x, a := range i.view[blockKey].block {
+			if s.ready && a.upstream == u {
+				s.h.Add(shard.ID(x), a.epoch)
+			}
+		}
+	}
+}
+
+// refresh reads the rows and confirms the homes.
+func (i *instance) refresh() {
+	sent := i.clock()
+	i.read(func(r rows) {
+		if i.w.without == ruleSentTime {
+			sent = i.clock()
+		}
+		for u, s := range i.seats {
+			if s != nil && r[u].version == s.row.version && sent > s.taken {
+				s.h.Confirm(sent)
+				s.ready = true
+			}
+		}
+		i.learn(r)
+	})
+}
+
+// takeover makes the instance the home of u unless another one is faster.
+func (i *instance) takeover(u *upstream, hold time.Duration) {
+	if s := i.seats[u.index]; s != nil && !s.retired {
+		return
+	}
+	i.read(func(r rows) {
+		i.learn(r)
+		o := r[u.index]
+		if o.home.term > 0 && o.home.instance == int(i.id) && o.home.run == i.run && !o.home.released {
+			return
+		}
+		w := hold
+		p := o.home.hold
+		if o.home.released {
+			p = 0
+		}
+		if i.w.without != ruleStatedHold {
+			w = StatedHold(hold, p)
+		}
+		n := put{u.index, row{version: o.version, home: homeRow{int(i.id), i.run, o.home.term + 1, w, false}}}
+		sent := i.clock()
+		i.commit(txn{puts: []put{n}}, func(ok bool, r rows) {
+			if x := i.seats[u.index]; ok && (x == nil || x.row.version < n.version) {
+				n.version++
+				i.sit(u, n.row, Config{
+					Term: fence.Term(n.home.term), Hold: hold, PredecessorHold: p, ConfirmedAt: sent,
+				})
+			}
+			i.learn(r)
+		})
+	})
+}
+
+// sit starts the home of a term that is known to be committed.
+func (i *instance) sit(u *upstream, r row, c Config) {
+	c.TTL, c.MaxRequest, c.Fencing = testTTL, testMaxRequest, i.w.fencing
+	c.CommittedAt, c.Drift = i.clock(), i.w.drift
+	switch i.w.without {
+	case ruleDrift:
+		c.Drift = 1e-9
+	case ruleTakeoverWait:
+		c.PredecessorHold = 0
+	}
+	i.seats[u.index] = &seat{h: New(c), upstream: u, row: r, taken: c.CommittedAt, ready: i.w.without == ruleFreshRows}
+	i.w.log("instance %d is home of %d in term %d", i.id, u.index, c.Term)
+	if i.w.without == ruleFreshRows {
+		i.learn(rows{})
+	}
+	i.refresh()
+}
+
+// tick drives all homes of the instance.
+func (i *instance) tick() {
+	i.ticks++
+	need := i.ticks%4 == 0
+	for _, s := range i.seats {
+		if s != nil {
+			i.drive(s)
+			need = need || s.h.NeedsConfirm()
+		}
+	}
+	if need {
+		i.refresh()
+	}
+	i.after(tickInterval, i.tick)
+}
+
+func (i *instance) drive(s *seat) {
+	if s.retired {
+		i.leave(s)
+		return
+	}
+	i.grant(s)
+	for x := range shard.ID(shards) {
+		t, err := s.h.CanDispatch(i.clock(), x)
+		if err == nil && !i.w.fenced() && !i.w.cut[[2]party{i.id, s.upstream.id}] {
+			i.w.stats["dispatch"]++
+			i.w.dispatch(s.upstream, t)
+		}
+	}
+	for _, m := range s.moves {
+		i.push(s, m)
+	}
+}
+
+func (i *instance) grant(s *seat) {
+	m, ok := s.h.Grant(i.clock())
+	if !ok {
+		return
+	}
+	sent := i.clock()
+	call(i, s.upstream.id, func() Answer { return s.upstream.handle(m) }, func(a Answer) {
+		if s.h.bootID != "" && s.h.bootID != a.BootId {
+			i.w.stats["restarted upstream"]++
+		}
+		if errors.Is(s.h.Answer(sent, i.clock(), a), ErrSuperseded) {
+			i.w.stats["superseded by answer"]++
+		}
+		if i.w.without == ruleConfirmBoot {
+			s.h.learned = s.h.confirmed - 1
+		}
+	})
+}
+
+// order starts the move of a shard away from the seat's upstream.
+func (i *instance) order(s *seat, x shard.ID, to int) {
+	for _, m := range s.moves {
+		if m.shard == x {
+			return
+		}
+	}
+	s.moves = append(s.moves, &move{shard: x, to: to})
+}
+
+// push commits a move once the upstream can no longer act on the shard.
+func (i *instance) push(s *seat, m *move) {
+	if m.sending {
+		return
+	}
+	s.h.Release(m.shard)
+	if !i.w.fenced() && !i.w.busy(s.upstream, m.shard) {
+		s.h.Drained(m.shard)
+	}
+	ok, _ := s.h.CanMove(i.clock(), m.shard)
+	if i.w.without == ruleLapse {
+		ok = true
+	}
+	b := i.view[blockKey]
+	a := b.block[m.shard]
+	if !ok || a.upstream != s.upstream.index {
+		return
+	}
+	i.w.stats[s.cause(m.shard)]++
+	m.sending = true
+	b.block[m.shard] = assignment{m.to, a.epoch + 1}
+	x := txn{checks: map[int]uint64{s.upstream.index: s.row.version}, puts: []put{{blockKey, b}}}
+	i.commit(x, func(ok bool, r rows) {
+		m.sending = false
+		i.finish(s, m, a, ok, r)
+	})
+}
+
+// cause tells why the shard may be moved.
+func (s *seat) cause(x shard.ID) string {
+	e := s.h.shards[x]
+	switch {
+	case !s.h.checked():
+		return "move without fence"
+	case !s.h.fenced:
+		return "move without adoption"
+	case e.last != 0 && s.h.acked <= e.last:
+		return "move after expiry"
+	}
+	return "move after acknowledgement"
+}
+
+// finish ends a move or, after a conflict, prepares it to be sent anew.
+func (i *instance) finish(s *seat, m *move, a assignment, ok bool, r rows) {
+	switch {
+	case ok, r[blockKey].block[m.shard] != a:
+		s.h.Remove(m.shard)
+	case i.w.steady, i.w.r.IntN(2) == 0:
+		i.learn(r)
+		return
+	default:
+		s.h.Restore(m.shard)
+	}
+	l := s.moves[:0]
+	for _, x := range s.moves {
+		if x != m {
+			l = append(l, x)
+		}
+	}
+	s.moves = l
+	i.learn(r)
+	i.announce(r)
+}
+
+func (i *instance) announce(r rows) {
+	for _, x := range i.w.instances {
+		i.w.send(i.id, x.id, func() { x.learn(r) })
+	}
+}
+
+// leave marks the home row released as soon as the home permits it.
+func (i *instance) leave(s *seat) {
+	ok, _ := s.h.Retire(i.clock())
+	if i.w.without == ruleRetireWait {
+		ok = true
+	}
+	if !ok || s.leaving {
+		return
+	}
+	s.leaving = true
+	n := s.row
+	n.home.released = true
+	i.commit(txn{puts: []put{{s.upstream.index, n}}}, func(ok bool, r rows) {
+		if ok {
+			i.w.stats["released row"]++
+		}
+		i.learn(r)
+	})
+}
--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,284 @@
+package lease
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sebdah/goldie/v2"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"dandelionrock.example/dandelionrock/config"
+	"dandelionrock.example/dandelionrock/fence"
+	"dandelionrock.example/dandelionrock/internal/clock"
+	"dandelionrock.example/dandelionrock/schema"
+	"dandelionrock.example/dandelionrock/shard"
+)
+
+const origin = clock.Time(time.Hour)
+
+// fixture is a home of term 5 that owns shard 7 in epoch 3, and its upstream.
+type fixture struct {
+	h   *Home
+	g   *fence.Guard
+	now clock.Time
+}
+
+func newFixture(f config.Fencing) *fixture {
+	x := &fixture{h: New(Config{
+		Organisation: "guild", Service: "quotes", Upstream: "quotes-1", Instance: "i-1",
+		Term: 5, Hold: 10 * time.Second, PredecessorHold: 2 * time.Second, TTL: testTTL,
+		MaxRequest: time.Second, Fencing: f, CommittedAt: origin, ConfirmedAt: origin,
+	}), g: fence.New("b1"), now: origin}
+	x.h.Add(7, 3)
+	return x
+}
+
+// exchange sends the next message 10 ms later and returns it.
+func (x *fixture) exchange() Grant {
+	x.now = x.now.Add(10 * time.Millisecond)
+	m, ok := x.h.Grant(x.now)
+	if ok {
+		_ = x.h.Answer(x.now, x.now, x.g.Handle(x.now, m))
+	}
+	return m
+}
+
+// grant brings the fixture to where the upstream serves the shard.
+func (x *fixture) grant() *fixture {
+	x.exchange()
+	x.now++
+	x.h.Confirm(x.now)
+	x.exchange()
+	return x
+}
+
+// lateAnswer grants the shard to run b2 of the upstream, loses the answer, and
+// then lets the home take a late answer of run b1 for that of a newer run. This
+// happens if the first of two messages arrives after a restart and the second
+// before it.
+func (x *fixture) lateAnswer() {
+	first, _ := x.h.Grant(x.now)
+	second, _ := x.h.Grant(x.now + 1)
+	late := x.g.Handle(x.now, second)
+	x.g = fence.New("b2")
+	x.now = x.now.Add(10 * time.Millisecond)
+	_ = x.h.Answer(origin, x.now, x.g.Handle(x.now, first))
+	x.h.Confirm(x.now + 1)
+	m, _ := x.h.Grant(x.now)
+	x.g.Handle(x.now, m)
+	_ = x.h.Answer(origin+1, x.now, late)
+}
+
+// Guards against a dispatch without authority.
+func TestCanDispatch(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		f    config.Fencing
+		do   func(x *fixture)
+		s    shard.ID
+		want error
+	}{
+		{"granted", config.FencingChecked, func(x *fixture) { x.grant() }, 7, nil},
+		{"unknown shard", config.FencingChecked, func(x *fixture) { x.grant() }, 8, ErrNotHeld},
+		{"removed", config.FencingChecked, func(x *fixture) { x.grant().h.Release(7); x.h.Remove(7) }, 7, ErrNotHeld},
+		{"releasing", config.FencingChecked, func(x *fixture) { x.grant().h.Release(7) }, 7, ErrReleasing},
+		{"retired", config.FencingChecked, func(x *fixture) { x.grant().h.Retire(x.now) }, 7, ErrReleasing},
+		{"superseded", config.FencingChecked, func(x *fixture) { x.grant().h.Supersede() }, 7, ErrSuperseded},
+		{"greeting only", config.FencingChecked, func(x *fixture) { x.exchange(); x.exchange() }, 7, ErrNotGranted},
+		{"lapsed", config.FencingChecked, func(x *fixture) { x.grant().now += clock.Time(time.Second) }, 7, ErrNotGranted},
+		{"unconfirmed", config.FencingChecked, func(x *fixture) { x.grant().now += clock.Time(9900 * time.Millisecond) }, 7, ErrUnconfirmed},
+		{"restored, not yet granted again", config.FencingChecked, func(x *fixture) {
+			x.grant().h.Release(7)
+			x.exchange()
+			x.h.Restore(7)
+		}, 7, ErrNotGranted},
+		{"new epoch, not yet granted", config.FencingChecked, func(x *fixture) { x.grant().h.Add(7, 5) }, 7, ErrNotGranted},
+		{"restarted upstream", config.FencingChecked, func(x *fixture) { x.grant().g = fence.New("b2"); x.exchange() }, 7, ErrNotGranted},
+		{"unfenced, predecessor may act", config.FencingNone, func(x *fixture) { x.grant() }, 7, ErrNotGranted},
+		{"unfenced", config.FencingNone, func(x *fixture) { x.now = x.h.free }, 7, nil},
+		{"unfenced, unconfirmed", config.FencingNone, func(x *fixture) { x.now += clock.Time(9900 * time.Millisecond) }, 7, ErrUnconfirmed},
+		{"unknown kind of fencing", "", func(x *fixture) { x.grant() }, 7, ErrNotGranted},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := newFixture(c.f)
+			c.do(x)
+			if _, err := x.h.CanDispatch(x.now, c.s); !errors.Is(err, c.want) {
+				t.Errorf("CanDispatch = %v, want %v", err, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a move while the predecessor, a grant or a request may still
+// act, and against a wait that is longer than necessary.
+func TestCanMove(t *testing.T) {
+	const atOnce clock.Time = 1
+	ms := func(n float64) clock.Time { return origin + clock.Time(n*float64(time.Millisecond)) + 1 }
+	for _, c := range []struct {
+		name string
+		f    config.Fencing
+		do   func(x *fixture)
+		// want is the earliest time; 0 if the shard can't be moved at all.
+		want clock.Time
+	}{
+		{"not released", config.FencingChecked, func(x *fixture) { x.grant().h.Restore(7) }, 0},
+		{"superseded", config.FencingChecked, func(x *fixture) { x.grant().h.Supersede() }, 0},
+		{"unknown predecessor", config.FencingChecked, func(*fixture) {}, ms(2525)},
+		{"adopted, never granted", config.FencingChecked, func(x *fixture) { x.exchange() }, atOnce},
+		{"granted", config.FencingChecked, func(x *fixture) { x.grant().h.Release(7) }, ms(515)},
+		{"acknowledged", config.FencingChecked, func(x *fixture) { x.grant().h.Release(7); x.exchange() }, atOnce},
+		{"restarted upstream", config.FencingChecked, func(x *fixture) {
+			x.grant().g = fence.New("b2")
+			x.exchange()
+			x.exchange()
+		}, ms(525)},
+		{"late answer of an earlier run", config.FencingChecked, func(x *fixture) {
+			x.lateAnswer()
+			if x.g.Check(x.now, Token{Term: 5, Shard: 7, Epoch: 3}) != nil {
+				t.Error("the upstream does not serve the shard")
+			}
+		}, ms(515)},
+		{"unfenced predecessor", config.FencingNone, func(*fixture) {}, ms(3030)},
+		{"unfenced request", config.FencingNone, func(x *fixture) {
+			x.now = x.h.free
+			_, _ = x.h.CanDispatch(x.now, 7)
+		}, ms(4040) + 1},
+		{"unfenced, drained", config.FencingNone, func(x *fixture) {
+			x.now = x.h.free
+			_, _ = x.h.CanDispatch(x.now, 7)
+			x.h.Drained(7)
+		}, ms(3030)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := newFixture(c.f)
+			c.do(x)
+			if c.name != "not released" {
+				x.h.Release(7)
+			}
+			if c.want <= atOnce {
+				if ok, _ := x.h.CanMove(x.now, 7); ok != (c.want == atOnce) {
+					t.Errorf("CanMove = %v", ok)
+				}
+				return
+			}
+			ok, at := x.h.CanMove(x.now, 7)
+			if d := at.Sub(c.want); ok && at > x.now || d < -1 || d > 1 {
+				t.Errorf("CanMove = %v, %v after the origin; want %v", ok, at.Sub(origin), c.want.Sub(origin))
+			}
+			if ok, _ = x.h.CanMove(at, 7); !ok {
+				t.Error("CanMove is false at the time that it gave")
+			}
+		})
+	}
+}
+
+// Guards against an answer that is taken for a newer or a valid one.
+func TestAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		sent time.Duration
+		a    Answer
+		want error
+		boot string
+	}{
+		{"higher term", 0, &schema.GrantReply{BootId: "b1", Term: 6}, ErrSuperseded, "b1"},
+		{"higher term of an older run", -time.Second, &schema.GrantReply{BootId: "b0", Term: 6}, ErrSuperseded, "b1"},
+		{"no boot id", 0, &schema.GrantReply{Term: 5}, ErrInvalid, "b1"},
+		{"sequence never sent", 0, &schema.GrantReply{BootId: "b1", Term: 5, Sequence: 99}, ErrInvalid, "b1"},
+		{"late answer of an older run", -time.Second, &schema.GrantReply{BootId: "b0", Term: 4}, nil, "b1"},
+		{"new run", 0, &schema.GrantReply{BootId: "b2"}, nil, "b2"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := newFixture(config.FencingChecked).grant()
+			err := x.h.Answer(x.now.Add(c.sent), x.now, c.a)
+			if !errors.Is(err, c.want) || x.h.Superseded() != errors.Is(c.want, ErrSuperseded) {
+				t.Errorf("Answer = %v, want %v", err, c.want)
+			}
+			if r := x.h.State(x.now); r.BootID != c.boot || r.NeedsConfirm != (c.boot == "b2") {
+				t.Errorf("boot id %q, needs confirmation %v", r.BootID, r.NeedsConfirm)
+			}
+		})
+	}
+}
+
+// Guards against an old row that brings back a shard, and against the late
+// outcome of a move that removes a shard which has come back meanwhile.
+func TestEpochsOnlyGrow(t *testing.T) {
+	h := newFixture(config.FencingChecked).h
+	h.Release(7)
+	h.Remove(7)
+	h.Add(7, 3)
+	if r := h.State(origin); r.Owned != 0 {
+		t.Errorf("after an old row: %+v", r)
+	}
+	h.Add(7, 5)
+	h.Remove(7)
+	if r := h.State(origin); r.Owned != 1 || r.Releasing != 0 {
+		t.Errorf("after the shard came back: %+v", r)
+	}
+}
+
+// Guards against a released row while another home or a request may still act.
+func TestRetire(t *testing.T) {
+	x := newFixture(config.FencingChecked)
+	if ok, at := x.h.Retire(x.now); ok || at != x.h.free {
+		t.Errorf("Retire = %v, %v before the term was adopted", ok, at)
+	}
+	x = newFixture(config.FencingChecked).grant()
+	if ok, _ := x.h.Retire(x.now); !ok {
+		t.Error("Retire is false after the term was adopted")
+	}
+	if m := x.exchange(); m != nil {
+		t.Errorf("Grant = %v after Retire", m)
+	}
+	x = newFixture(config.FencingNone)
+	x.now = x.h.free
+	_, _ = x.h.CanDispatch(x.now, 7)
+	if ok, at := x.h.Retire(x.now); ok || at <= x.h.free {
+		t.Errorf("Retire = %v, %v with a request that may run", ok, at)
+	}
+}
+
+// Guards against a change of the messages and of the status report that nobody
+// intended.
+func TestMessages(t *testing.T) {
+	x := newFixture(config.FencingChecked)
+	var b bytes.Buffer
+	show := func(title string) {
+		m, err := protojson.Marshal(x.exchange())
+		if err != nil {
+			t.Fatal(err)
+		}
+		r, err := json.Marshal(x.h.State(x.now))
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(&b, "%s\n", title)
+		for _, l := range [][]byte{m, r} {
+			if err := json.Compact(&b, l); err != nil {
+				t.Fatal(err)
+			}
+			b.WriteByte('\n')
+		}
+	}
+	show("greeting")
+	show("greeting until the row is confirmed")
+	x.h.Add(4, 1)
+	x.h.Confirm(x.now + 1)
+	show("grant")
+	x.h.Release(7)
+	x.g.SetDraining(true)
+	x.g.SetLoad(0.25)
+	show("release")
+	x.h.Remove(7)
+	x.g = fence.New("b2")
+	show("refused by the next run")
+	show("greeting of the next run")
+	x.h.Confirm(x.now + 1)
+	show("grant to the next run")
+	goldie.New(t).Assert(t, "messages", b.Bytes())
+}
--- /dev/null
+++ b/lease/world_test.go
@@ -0,0 +1,276 @@
+package lease
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"dandelionrock.example/dandelionrock/config"
+	"dandelionrock.example/dandelionrock/internal/clock"
+	"dandelionrock.example/dandelionrock/shard"
+)
+
+const (
+	testTTL        = 500 * time.Millisecond
+	testMaxRequest = 400 * time.Millisecond
+	tickInterval   = 50 * time.Millisecond
+	instances      = 3
+	shards         = 3
+)
+
+// holds are the hold times of homes.
+var holds = []time.Duration{400 * time.Millisecond, time.Second, 3 * time.Second}
+
+// party is the table, an instance or an upstream.
+type party int
+
+const (
+	theTable      party = 0
+	firstInstance party = 1
+	firstUpstream party = firstInstance + instances
+)
+
+// setup is the fixed part of a walk.
+type setup struct {
+	fencing config.Fencing
+	// size is the number of upstreams.
+	size int
+	// drift is the bound on clock drift; clocks use all of it.
+	drift clock.Drift
+	seed  int64
+	// without names the rule that a mutated model leaves out.
+	without rule
+}
+
+func (s setup) fenced() bool { return s.fencing == config.FencingChecked }
+
+// event is a delivery or a timer of a party.
+type event struct {
+	at clock.Time
+	// order keeps events of one instant in the order of their creation.
+	order int
+	to    party
+	run   func()
+}
+
+type events []event
+
+func (q events) Len() int      { return len(q) }
+func (q events) Swap(a, b int) { q[a], q[b] = q[b], q[a] }
+func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
+func (q events) Less(a, b int) bool {
+	return q[a].at < q[b].at || q[a].at == q[b].at && q[a].order < q[b].order
+}
+
+func (q *events) Pop() any {
+	l := len(*q) - 1
+	x := (*q)[l]
+	*q = (*q)[:l]
+	return x
+}
+
+// world runs instances with real Homes, upstreams with real Guards and a table
+// over a faulty network, on one thread and with one random source.
+type world struct {
+	setup
+	r     *rand.Rand
+	now   clock.Time
+	queue events
+	order int
+
+	offset []clock.Time
+	rate   []float64
+	// paused parties handle what arrives after their return.
+	paused  []bool
+	backlog [][]event
+	cut     map[[2]party]bool
+	// outage makes the table refuse calls.
+	outage bool
+	// Chances of loss, duplication and a delay of up to 3 s.
+	loss, duplicate, slow float64
+
+	table     *fakeTable
+	instances []*instance
+	upstreams []*upstream
+	runs      []running
+	err       error
+	// steady keeps homes from abandoning a move.
+	steady bool
+	// stats counts the situations that occurred in a group of walks.
+	stats map[string]int
+	// trace has the latest events, if they are asked for.
+	trace []string
+}
+
+func newWorld(s setup, stats map[string]int) *world {
+	w := &world{
+		setup: s, stats: stats, r: rand.New(rand.NewPCG(uint64(s.seed), 0)), now: clock.Time(time.Hour),
+		cut: make(map[[2]party]bool),
+	}
+	n := int(firstUpstream) + s.size
+	w.paused, w.backlog = make([]bool, n), make([][]event, n)
+	for range n {
+		w.offset = append(w.offset, clock.Time(w.r.Int64N(int64(time.Hour))))
+		w.rate = append(w.rate, 1+float64(s.drift)*0.99*float64(w.r.IntN(3))/2)
+	}
+	w.table = newTable(w)
+	for i := range s.size {
+		u := &upstream{w: w, index: i, id: firstUpstream + party(i)}
+		u.restart()
+		w.upstreams = append(w.upstreams, u)
+	}
+	for i := range instances {
+		x := &instance{w: w, id: firstInstance + party(i)}
+		w.instances = append(w.instances, x)
+		x.start()
+	}
+	for i, u := range w.upstreams {
+		w.instances[i%instances].takeover(u, holds[w.r.IntN(len(holds))])
+	}
+	w.advance(500 * time.Millisecond)
+	return w
+}
+
+// clock returns the reading of the party's own clock.
+func (w *world) clock(p party) clock.Time {
+	return w.offset[p] + clock.Time(float64(w.now)*w.rate[p])
+}
+
+// fail records the first violation that the oracle finds.
+func (w *world) fail(format string, a ...any) {
+	if w.err == nil {
+		w.log("violation: "+format, a...)
+		w.err = fmt.Errorf(format+"%s", append(a, strings.Join(w.trace, ""))...)
+	}
+}
+
+// log adds to the trace.
+func (w *world) log(format string, a ...any) {
+	if *traceFlag {
+		t := w.now.Sub(clock.Time(time.Hour))
+		w.trace = append(w.trace[max(0, len(w.trace)-200):], fmt.Sprintf("\n%v: "+format, append([]any{t}, a...)...))
+	}
+}
+
+func (w *world) at(t clock.Time, to party, f func()) {
+	w.order++
+	heap.Push(&w.queue, event{t, w.order, to, f})
+}
+
+// send delivers f to a party after a delay, perhaps late, twice or never.
+func (w *world) send(from, to party, f func()) {
+	n := 1
+	if w.r.Float64() < w.duplicate {
+		n = 2
+	}
+	for range n {
+		d := time.Duration(1+w.r.IntN(10)) * time.Millisecond
+		if w.r.Float64() < w.slow {
+			d = time.Duration(w.r.IntN(3000)) * time.Millisecond
+		}
+		if !w.cut[[2]party{from, to}] && w.r.Float64() >= w.loss {
+			w.at(w.now.Add(d), to, f)
+		}
+	}
+}
+
+// advance runs all events of the next d.
+func (w *world) advance(d time.Duration) {
+	end := w.now.Add(d)
+	for w.err == nil && len(w.queue) > 0 && w.queue[0].at <= end {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		if w.paused[e.to] {
+			w.backlog[e.to] = append(w.backlog[e.to], e)
+			continue
+		}
+		e.run()
+	}
+	w.now = end
+}
+
+// pause freezes a party or lets it go on with everything that arrived.
+func (w *world) pause(p party, on bool) {
+	w.paused[p] = on
+	if on {
+		return
+	}
+	for _, e := range w.backlog[p] {
+		w.at(w.now, p, e.run)
+	}
+	w.backlog[p] = nil
+}
+
+// heal ends all faults.
+func (w *world) heal() {
+	clear(w.cut)
+	w.outage, w.loss, w.duplicate, w.slow = false, 0, 0, 0
+	for p := range w.paused {
+		w.pause(party(p), false)
+	}
+}
+
+// running is a request that may execute until end at an unfenced upstream.
+type running struct {
+	upstream int
+	term     uint64
+	shard    shard.ID
+	end      clock.Time
+}
+
+// dispatch runs a request at an unfenced upstream and fails if another upstream
+// or another home's request may execute for the shard at the same time.
+func (w *world) dispatch(u *upstream, t Token) {
+	l := w.runs[:0]
+	for _, x := range w.runs {
+		if x.end <= w.now {
+			continue
+		}
+		l = append(l, x)
+		if x.shard == t.Shard && (x.upstream != u.index || x.term != uint64(t.Term)) {
+			w.fail("upstream %d runs shard %v in term %v while upstream %d runs it in term %d",
+				u.index, t.Shard, t.Term, x.upstream, x.term)
+		}
+	}
+	d := time.Duration(w.r.Float64() * float64(testMaxRequest) / w.rate[u.id])
+	w.runs = append(l, running{u.index, uint64(t.Term), t.Shard, w.now.Add(d)})
+}
+
+// busy reports whether a request may execute for the shard at the upstream.
+func (w *world) busy(u *upstream, s shard.ID) bool {
+	return slices.ContainsFunc(w.runs, func(x running) bool {
+		return x.upstream == u.index && x.shard == s && x.end > w.now
+	})
+}
+
+// home returns the seat that the table names for an upstream, or nil.
+func (w *world) home(u int) (*instance, *seat) {
+	for _, i := range w.instances {
+		s := i.seats[u]
+		if s != nil && !s.retired && s.row.version == w.table.rows[u].version {
+			return i, s
+		}
+	}
+	return nil, nil
+}
+
+// exclusive fails if two upstreams would execute for one shard now. An upstream
+// can only begin to execute when it handles a message, so that it suffices to
+// look then.
+func (w *world) exclusive() {
+	for s := range shard.ID(shards) {
+		owner := -1
+		for i, u := range w.upstreams {
+			if !u.executes(s) {
+				continue
+			}
+			if owner >= 0 {
+				w.fail("upstreams %d and %d would both execute for shard %v", owner, i, s)
+			}
+			owner = i
+		}
+	}
+}
