demo: give each instance a metrics address, wait until all hear one another

The settings have got metrics-address, and all instances took the sample's port. Status and timeline need an operator's credential; the Guild's is used.

The script therefore waits until the status of each instance shows the others as live.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -17,12 +17,13 @@
 # The upstream of the Guild that runs as a process of its own.
 single=order-01
 
-# Instances: region, failure domain, ports for HTTP and for other instances.
+# Instances: region, failure domain, ports for HTTP, for other instances and for
+# metrics.
 declare -A instances=(
-  [hobart-a-1]="hobart hobart-a ${ports}001 ${ports}002"
-  [hobart-b-1]="hobart hobart-b ${ports}003 ${ports}004"
-  [fes-a-1]="fes fes-a ${ports}005 ${ports}006"
-  [fes-b-1]="fes fes-b ${ports}007 ${ports}008"
+  [hobart-a-1]="hobart hobart-a ${ports}001 ${ports}002 ${ports}003"
+  [hobart-b-1]="hobart hobart-b ${ports}011 ${ports}012 ${ports}013"
+  [fes-a-1]="fes fes-a ${ports}021 ${ports}022 ${ports}023"
+  [fes-b-1]="fes fes-b ${ports}031 ${ports}032 ${ports}033"
 )
 names=(hobart-a-1 hobart-b-1 fes-a-1 fes-b-1)
 
@@ -76,6 +77,7 @@
     -e "s|^failure-domain = .*|failure-domain = \"${a[1]}\"|" \
     -e "s|^http-address = .*|http-address = \"127.0.0.1:${a[2]}\"|" \
     -e "s|^rpc-address = .*|rpc-address = \"127.0.0.1:${a[3]}\"|" \
+    -e "s|^metrics-address = .*|metrics-address = \"127.0.0.1:${a[4]}\"|" \
     -e "s|^table-url = .*|table-url = \"http://$platform\"|" \
     -e "s|^instances-url = .*|instances-url = \"http://$platform/instances\"|" \
     examples/instance.toml >"$work/$1.toml"
@@ -95,7 +97,7 @@
   local n a p=("${platform##*:}")
   for n in "${names[@]}"; do
     read -ra a <<<"${instances[$n]}"
-    p+=("${a[2]}" "${a[3]}")
+    p+=("${a[@]:2}")
   done
   mapfile -t -O "${#p[@]}" p < <(sed -n 's/.*address = "127\.0\.0\.1:\([0-9]*\)".*/\1/p' "$work/guild.toml" "$work/cooperative.toml")
   free "${p[@]}"
@@ -125,9 +127,18 @@
   for n in "${names[@]}"; do
     u=$(url "$n")
     await "$limit" "$n" "instance $n is ready" get "${u#http://}" /readyz
+    await "$limit" "$n" "instance $n hears from the others" knows_others "$n"
   done
 }
 
+# knows_others NAME reports whether an instance hears from all others. Until then,
+# submit --wait doesn't wait for them.
+knows_others() {
+  local n
+  n=$(DANDELIONROCK_CREDENTIAL=guild-operator-demo "$bin/dandelionrock" status --instance "$(url "$1")" | grep -c ' live ')
+  ((n == ${#names[@]} - 1))
+}
+
 submit() {
   local o
   for o in guild cooperative; do
@@ -228,11 +239,11 @@
   for n in "${names[@]}"; do
     [[ $n == "$victim" ]] || o+=(--instance "$(url "$n")")
   done
-  say "status of $survivor"
-  "$bin/dandelionrock" status --instance "$(url "$survivor")" >"$work/status" || fail "status" "$survivor"
+  say "status of $survivor, as an operator of the Guild sees it"
+  DANDELIONROCK_CREDENTIAL=guild-operator-demo "$bin/dandelionrock" status --instance "$(url "$survivor")" >"$work/status" || fail "status" "$survivor"
   awk '/^HOME/ { h = NR } !h || NR <= h + 8 { print } END { if (NR > h + 8) print "and " NR - h - 8 " more homes" }' "$work/status"
-  say "last events of the instances that run"
-  "$bin/dandelionrock" timeline "${o[@]}" >"$work/timeline" || fail "timeline" "$survivor"
+  say "last events of the instances that run, as an operator of the Guild sees them"
+  DANDELIONROCK_CREDENTIAL=guild-operator-demo "$bin/dandelionrock" timeline "${o[@]}" >"$work/timeline" || fail "timeline" "$survivor"
   tail -n 12 "$work/timeline"
 }
 
@@ -256,7 +267,7 @@
 start_stand_ins
 say "the platform and the upstreams run in ${#pids[@]} processes"
 start_instances
-say "${#names[@]} instances are ready"
+say "${#names[@]} instances are ready and hear from one another"
 submit
 say "requests of six client accounts"
 send_all
