--- a/internal/home/grant.go
+++ b/internal/home/grant.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
@@ -22,9 +23,13 @@
 	client *http.Client
 }
 
-// NewGrantClient returns a client for the upstream at an address.
-func NewGrantClient(address string) *GrantClient {
+// NewGrantClient returns a client for the upstream at an address. Dial opens a
+// connection; a TCP dial if nil.
+func NewGrantClient(address string, dial func(c context.Context, address string) (net.Conn, error)) *GrantClient {
 	t := &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}
+	if dial != nil {
+		t.DialContext = func(c context.Context, _, a string) (net.Conn, error) { return dial(c, a) }
+	}
 	return &GrantClient{url: "http://" + address + "/grant", client: &http.Client{Transport: t}}
 }
 
--- a/internal/node/beat.go
+++ b/internal/node/beat.go
@@ -164,15 +164,19 @@
 	}
 }
 
-// dialer returns a dialer that adds the delays of the settings, for
-// experiments, or nil.
+// dialer returns the dialer for other instances, or nil for a TCP dial. It adds
+// the delays of the settings, for experiments.
 func (n *Node) dialer() func(c context.Context, address string) (net.Conn, error) {
 	if len(n.s.Delays) == 0 {
-		return nil
+		return n.dial
 	}
-	return func(c context.Context, address string) (net.Conn, error) {
+	dial := n.dial
+	if dial == nil {
 		var d net.Dialer
-		x, err := d.DialContext(c, "tcp", address)
+		dial = func(c context.Context, address string) (net.Conn, error) { return d.DialContext(c, "tcp", address) }
+	}
+	return func(c context.Context, address string) (net.Conn, error) {
+		x, err := dial(c, address)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -34,6 +35,8 @@
 	// Scope receives the metrics, which Metrics serves.
 	Scope   tally.Scope
 	Metrics http.Handler
+	// Dial opens connections to instances and upstreams; a TCP dial if nil.
+	Dial func(c context.Context, address string) (net.Conn, error)
 }
 
 // Node is one instance. Use New.
@@ -43,6 +46,8 @@
 	store table.Store
 	log   zerolog.Logger
 	scope tally.Scope
+	// dial is nil for a TCP dial.
+	dial func(c context.Context, address string) (net.Conn, error)
 	// metrics serves the metrics page.
 	metrics http.Handler
 
@@ -101,6 +106,7 @@
 		log:       o.Log,
 		scope:     o.Scope,
 		metrics:   o.Metrics,
+		dial:      o.Dial,
 		clock:     k,
 		events:    event.New(o.Settings.InstanceID, eventCapacity, k),
 		dir:       route.New(config.Parse),
--- a/internal/node/take.go
+++ b/internal/node/take.go
@@ -358,10 +358,10 @@
 		Key: x.key, Version: r.Version, Taken: taken, Lease: l,
 		Service: x.service, Upstream: x.upstream, Instance: n.self.ID,
 		Directory: n.dir, Store: n.store,
-		Granter: home.NewGrantClient(x.upstream.Address),
+		Granter: home.NewGrantClient(x.upstream.Address, n.dial),
 		Sender: home.NewUpstream(home.UpstreamOptions{
 			Address: x.upstream.Address, Connections: x.upstream.Connections - 1,
-			MaxAnswer: int64(x.service.MaxAnswer),
+			MaxAnswer: int64(x.service.MaxAnswer), Dial: n.dial,
 		}),
 		Announce: n.announce,
 		Targets: func() ([]shard.Move, error) {
