--- a/internal/node/config_walk_test.go
+++ b/internal/node/config_walk_test.go
@@ -345,13 +345,16 @@
 type blind struct{ table.Store }
 
 func (b blind) Commit(c context.Context, t table.Txn) error {
-	for i := range t.Puts {
-		if strings.HasPrefix(string(t.Puts[i].Key), "config/") {
-			r, err := b.Read(c, t.Puts[i].Key)
+	if k := t.Puts[0].Key; strings.HasPrefix(string(k), "config/") {
+		for {
+			r, err := b.Read(c, k)
 			if err != nil {
 				return err
 			}
-			t.Puts[i].Version, t.Puts[i].Txns = r[0].Version, r[0].Txns
+			t.Puts[0].Version, t.Puts[0].Txns = r[0].Version, r[0].Txns
+			if err := b.Store.Commit(c, t); !errors.Is(err, table.ErrConflict) {
+				return err
+			}
 		}
 	}
 	return b.Store.Commit(c, t)
