Let limits of homes differ in the fuzzed model

Cause: after a change of the configuration, a predecessor may have used a longer TTL or longest request than its successor; the model gave all homes the same ones and could not see a wait that is too short. Change: the model's home row states hold time, TTL and longest request, each not below the predecessor's, and homes draw them at random; one more rule is left out in turn (the predecessor's limits are ignored). Conclusion: the predecessor's TTL and longest request belong in the home row.

--- a/lease/instance_test.go
+++ b/lease/instance_test.go
@@ -168,7 +168,7 @@
 }
 
 // takeover makes the instance the home of u unless another one is faster.
-func (i *instance) takeover(u *upstream, hold time.Duration) {
+func (i *instance) takeover(u *upstream, l limits) {
 	if s := i.seats[u.index]; s != nil && !s.retired {
 		return
 	}
@@ -178,13 +178,13 @@
 		if o.home.term > 0 && o.home.instance == int(i.id) && o.home.run == i.run && !o.home.released {
 			return
 		}
-		w := hold
-		p := o.home.hold
+		p := o.home.limits
 		if o.home.released {
-			p = 0
+			p.hold = 0
 		}
-		if i.w.without != ruleStatedHold {
-			w = StatedHold(hold, p)
+		w := l.stated(p)
+		if i.w.without == ruleStatedHold {
+			w.hold = l.hold
 		}
 		n := put{u.index, row{version: o.version, home: homeRow{int(i.id), i.run, o.home.term + 1, w, false}}}
 		sent := i.clock()
@@ -192,7 +192,9 @@
 			if x := i.seats[u.index]; ok && (x == nil || x.row.version < n.version) {
 				n.version++
 				i.sit(u, n.row, Config{
-					Term: fence.Term(n.home.term), Hold: hold, PredecessorHold: p, ConfirmedAt: sent,
+					Term: fence.Term(n.home.term), ConfirmedAt: sent,
+					Hold: l.hold, TTL: l.ttl, MaxRequest: l.request,
+					PredecessorHold: p.hold, PredecessorTTL: p.ttl, PredecessorMaxRequest: p.request,
 				})
 			}
 			i.learn(r)
@@ -202,13 +204,14 @@
 
 // sit starts the home of a term that is known to be committed.
 func (i *instance) sit(u *upstream, r row, c Config) {
-	c.TTL, c.MaxRequest, c.Fencing = testTTL, testMaxRequest, i.w.fencing
-	c.CommittedAt, c.Drift = i.clock(), i.w.drift
+	c.Fencing, c.CommittedAt, c.Drift = i.w.fencing, i.clock(), i.w.drift
 	switch i.w.without {
 	case ruleDrift:
 		c.Drift = 1e-9
 	case ruleTakeoverWait:
 		c.PredecessorHold = 0
+	case ruleStatedLimits:
+		c.PredecessorTTL, c.PredecessorMaxRequest = 0, 0
 	}
 	i.seats[u.index] = &seat{h: New(c), upstream: u, row: r, taken: c.CommittedAt, ready: i.w.without == ruleFreshRows}
 	i.w.log("instance %d is home of %d in term %d", i.id, u.index, c.Term)
@@ -244,7 +247,7 @@
 		t, err := s.h.CanDispatch(i.clock(), x)
 		if err == nil && !i.w.fenced() && !i.w.cut[[2]party{i.id, s.upstream.id}] {
 			i.w.stats["dispatch"]++
-			i.w.dispatch(s.upstream, t)
+			i.w.dispatch(s.upstream, t, s.h.c.MaxRequest)
 		}
 	}
 	for _, m := range s.moves {
@@ -362,7 +365,7 @@
 	}
 	s.leaving = true
 	n := s.row
-	n.home.released = true
+	n.home.limits, n.home.released = limits{s.h.c.Hold, s.h.c.TTL, s.h.c.MaxRequest}, true
 	i.commit(txn{puts: []put{{s.upstream.index, n}}}, func(ok bool, r rows) {
 		if ok {
 			i.w.stats["released row"]++
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -124,7 +124,8 @@
 // StatedHold returns the hold time that the home row of a new term must state.
 // It is not below the predecessor's, which may act for that long after the
 // commit, even if the new home is replaced at once by one that has seen only
-// the new row.
+// the new row. The row states the TTL and the longest request likewise. A home
+// that marks its row released states its own values.
 func StatedHold(own, predecessor time.Duration) time.Duration { return max(own, predecessor) }
 
 // New returns the Home for a term whose commit is known.
--- a/lease/table_test.go
+++ b/lease/table_test.go
@@ -16,10 +16,18 @@
 type homeRow struct {
 	instance, run int
 	term          uint64
-	hold          time.Duration
+	limits        limits
 	released      bool
 }
 
+// limits bound for how long a home and what it sent can act.
+type limits struct{ hold, ttl, request time.Duration }
+
+// stated returns what the row of a successor to p must state.
+func (l limits) stated(p limits) limits {
+	return limits{StatedHold(l.hold, p.hold), StatedHold(l.ttl, p.ttl), StatedHold(l.request, p.request)}
+}
+
 type assignment struct {
 	upstream int
 	epoch    shard.Epoch
--- a/lease/walk_test.go
+++ b/lease/walk_test.go
@@ -42,6 +42,7 @@
 	ruleDrift         rule = "8: waits are not extended by the drift"
 	ruleConfirmBoot   rule = "9: a new boot id needs no confirming read"
 	ruleStatedHold    rule = "the home row states only the home's own hold time"
+	ruleStatedLimits  rule = "a successor takes its own TTL and longest request for the predecessor's"
 	ruleFreshRows     rule = "shards are added from rows older than the takeover"
 	ruleRetireWait    rule = "a row is released while the predecessor may act"
 )
@@ -180,7 +181,7 @@
 func (w *world) takeover(i, u, n int) {
 	x := w.instances[i%instances]
 	if !w.paused[x.id] {
-		x.takeover(w.upstreams[u%w.size], holds[n%len(holds)])
+		x.takeover(w.upstreams[u%w.size], limitsOf(n))
 	}
 }
 
@@ -248,7 +249,7 @@
 			if int(w.instances[0].id) == w.table.rows[u].home.instance {
 				n = 1
 			}
-			w.instances[n].takeover(x, time.Second)
+			w.instances[n].takeover(x, limitsOf(4))
 		}
 	}
 }
--- a/lease/world_test.go
+++ b/lease/world_test.go
@@ -21,8 +21,15 @@
 	shards         = 3
 )
 
-// holds are the hold times of homes.
-var holds = []time.Duration{400 * time.Millisecond, time.Second, 3 * time.Second}
+// limitsOf returns the limits of a home, which vary as after a change of the
+// configuration.
+func limitsOf(n int) limits {
+	l := limits{[]time.Duration{400 * time.Millisecond, time.Second, 3 * time.Second}[n%3], testTTL, testMaxRequest}
+	if n/3%4 == 0 {
+		l.ttl, l.request = 3*testTTL, 3*testMaxRequest
+	}
+	return l
+}
 
 // party is the table, an instance or an upstream.
 type party int
@@ -128,7 +135,7 @@
 		x.start()
 	}
 	for i, u := range w.upstreams {
-		w.instances[i%instances].takeover(u, holds[w.r.IntN(len(holds))])
+		w.instances[i%instances].takeover(u, limitsOf(w.r.IntN(12)))
 	}
 	w.advance(500 * time.Millisecond)
 	return w
@@ -223,7 +230,7 @@
 
 // dispatch runs a request at an unfenced upstream and fails if another upstream
 // or another home's request may execute for the shard at the same time.
-func (w *world) dispatch(u *upstream, t Token) {
+func (w *world) dispatch(u *upstream, t Token, longest time.Duration) {
 	l := w.runs[:0]
 	for _, x := range w.runs {
 		if x.end <= w.now {
@@ -235,7 +242,7 @@
 				u.index, t.Shard, t.Term, x.upstream, x.term)
 		}
 	}
-	d := time.Duration(w.r.Float64() * float64(testMaxRequest) / w.rate[u.id])
+	d := time.Duration(w.r.Float64() * float64(longest) / w.rate[u.id])
 	w.runs = append(l, running{u.index, uint64(t.Term), t.Shard, w.now.Add(d)})
 }
 
