Use one-letter locals in the tests of lease

Change: locals renamed; nothing else. Figures: make test passes before and after. Conclusion: no change in behaviour.

--- a/lease/instance_test.go
+++ b/lease/instance_test.go
@@ -86,10 +86,10 @@
 func (i *instance) commit(x txn, f func(bool, rows)) {
 	i.txns++
 	x.id = fmt.Sprintf("%d.%d.%d", i.id, i.run, i.txns)
-	done := false
-	end := func(ok bool, r rows) {
-		if !done {
-			done = true
+	d := false
+	e := func(ok bool, r rows) {
+		if !d {
+			d = true
 			i.w.table.acknowledge(x, ok)
 			if !ok {
 				i.w.stats["refused write"]++
@@ -97,22 +97,22 @@
 			f(ok, r)
 		}
 	}
-	var try func(first bool)
-	try = func(first bool) {
-		if done {
+	var t func(first bool)
+	t = func(first bool) {
+		if d {
 			return
 		}
 		if !first {
 			i.w.stats["write sent again"]++
 		}
 		if i.w.without == ruleSettle && !first {
-			i.read(func(r rows) { end(r.committed(x), r) })
+			i.read(func(r rows) { e(r.committed(x), r) })
 		} else {
-			i.attempt(x, end)
+			i.attempt(x, e)
 		}
-		i.after(200*time.Millisecond, func() { try(false) })
+		i.after(200*time.Millisecond, func() { t(false) })
 	}
-	try(true)
+	t(true)
 }
 
 func (i *instance) attempt(x txn, f func(bool, rows)) {
@@ -152,14 +152,14 @@
 
 // refresh reads the rows and confirms the homes.
 func (i *instance) refresh() {
-	sent := i.clock()
+	t := i.clock()
 	i.read(func(r rows) {
 		if i.w.without == ruleSentTime {
-			sent = i.clock()
+			t = i.clock()
 		}
 		for u, s := range i.seats {
-			if s != nil && r[u].version == s.row.version && sent > s.taken {
-				s.h.Confirm(sent)
+			if s != nil && r[u].version == s.row.version && t > s.taken {
+				s.h.Confirm(t)
 				s.ready = true
 			}
 		}
@@ -187,12 +187,12 @@
 			w.hold = l.hold
 		}
 		n := put{u.index, row{version: o.version, home: homeRow{int(i.id), i.run, o.home.term + 1, w, false}}}
-		sent := i.clock()
+		t := i.clock()
 		i.commit(txn{puts: []put{n}}, func(ok bool, r rows) {
 			if x := i.seats[u.index]; ok && (x == nil || x.row.version < n.version) {
 				n.version++
 				i.sit(u, n.row, Config{
-					Term: fence.Term(n.home.term), ConfirmedAt: sent,
+					Term: fence.Term(n.home.term), ConfirmedAt: t,
 					Hold: l.hold, TTL: l.ttl, MaxRequest: l.request,
 					PredecessorHold: p.hold, PredecessorTTL: p.ttl, PredecessorMaxRequest: p.request,
 				})
@@ -224,14 +224,14 @@
 // tick drives all homes of the instance.
 func (i *instance) tick() {
 	i.ticks++
-	need := i.ticks%4 == 0
+	n := i.ticks%4 == 0
 	for _, s := range i.seats {
 		if s != nil {
 			i.drive(s)
-			need = need || s.h.NeedsConfirm()
+			n = n || s.h.NeedsConfirm()
 		}
 	}
-	if need {
+	if n {
 		i.refresh()
 	}
 	i.after(tickInterval, i.tick)
@@ -260,12 +260,12 @@
 	if !ok {
 		return
 	}
-	sent := i.clock()
+	t := i.clock()
 	call(i, s.upstream.id, func() Answer { return s.upstream.handle(m) }, func(a Answer) {
 		if s.h.bootID != "" && s.h.bootID != a.BootId {
 			i.w.stats["restarted upstream"]++
 		}
-		if errors.Is(s.h.Answer(sent, i.clock(), a), ErrSuperseded) {
+		if errors.Is(s.h.Answer(t, i.clock(), a), ErrSuperseded) {
 			i.w.stats["superseded by answer"]++
 		}
 		if i.w.without == ruleConfirmBoot {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -61,16 +61,16 @@
 // happens if the first of two messages arrives after a restart and the second
 // before it.
 func (x *fixture) lateAnswer() {
-	first, _ := x.h.Grant(x.now)
-	second, _ := x.h.Grant(x.now + 1)
-	late := x.g.Handle(x.now, second)
+	a, _ := x.h.Grant(x.now)
+	b, _ := x.h.Grant(x.now + 1)
+	l := x.g.Handle(x.now, b)
 	x.g = fence.New("b2")
 	x.now = x.now.Add(10 * time.Millisecond)
-	_ = x.h.Answer(origin, x.now, x.g.Handle(x.now, first))
+	_ = x.h.Answer(origin, x.now, x.g.Handle(x.now, a))
 	x.h.Confirm(x.now + 1)
 	m, _ := x.h.Grant(x.now)
 	x.g.Handle(x.now, m)
-	_ = x.h.Answer(origin+1, x.now, late)
+	_ = x.h.Answer(origin+1, x.now, l)
 }
 
 // Guards against a dispatch without authority.
--- a/lease/mutation_test.go
+++ b/lease/mutation_test.go
@@ -56,13 +56,13 @@
 
 // hunt reports the seed, up to n, that shows a violation after the fewest walks.
 func (m mutation) hunt(t *testing.T, n int64) {
-	best, seed := maxWalks, int64(0)
-	for s := int64(1); s <= n && best > 0; s++ {
-		if r := m.check(m.without, s, best); !r.Passed() {
-			best, seed = r.Succeeded, s
+	b, k := maxWalks, int64(0)
+	for s := int64(1); s <= n && b > 0; s++ {
+		if r := m.check(m.without, s, b); !r.Passed() {
+			b, k = r.Succeeded, s
 		}
 	}
-	t.Logf("%v, %v: seed %d shows a violation after %d walks", m.without, m.fencing, seed, best)
+	t.Logf("%v, %v: seed %d shows a violation after %d walks", m.without, m.fencing, k, b)
 }
 
 // Guards against an oracle that is blind: each rule, left out of the model,
--- a/lease/table_test.go
+++ b/lease/table_test.go
@@ -122,13 +122,13 @@
 		t.w.fail("transaction %s took effect after it was reported as refused", x.id)
 	}
 	for _, p := range x.puts {
-		old := t.rows[p.key]
-		p.version = old.version + 1
-		p.txns = append(slices.Clone(old.txns), x.id)
+		o := t.rows[p.key]
+		p.version = o.version + 1
+		p.txns = append(slices.Clone(o.txns), x.id)
 		p.txns = p.txns[max(0, len(p.txns)-keptTxns):]
-		t.watch(old.home, p.home)
+		t.watch(o.home, p.home)
 		if p.key == blockKey {
-			t.watchBlock(old.block, p.block)
+			t.watchBlock(o.block, p.block)
 		}
 		t.rows[p.key] = p.row
 	}
--- a/lease/walk_test.go
+++ b/lease/walk_test.go
@@ -226,13 +226,13 @@
 		w.advance(500 * time.Millisecond)
 	}
 	w.advance(5 * time.Second)
-	before := w.table.rows[blockKey].block
+	b := w.table.rows[blockKey].block
 	for s := range shard.ID(shards) {
 		w.move(s, 1)
 	}
 	w.advance(2 * time.Second)
 	for s, a := range w.table.rows[blockKey].block {
-		if a.epoch == before[s].epoch {
+		if a.epoch == b[s].epoch {
 			w.fail("shard %d was not moved from upstream %d", s, a.upstream)
 		}
 		w.served(shard.ID(s), w.upstreams[a.upstream])
--- a/lease/world_test.go
+++ b/lease/world_test.go
@@ -186,8 +186,8 @@
 
 // advance runs all events of the next d.
 func (w *world) advance(d time.Duration) {
-	end := w.now.Add(d)
-	for w.err == nil && len(w.queue) > 0 && w.queue[0].at <= end {
+	t := w.now.Add(d)
+	for w.err == nil && len(w.queue) > 0 && w.queue[0].at <= t {
 		e := heap.Pop(&w.queue).(event)
 		w.now = e.at
 		if w.paused[e.to] {
@@ -196,7 +196,7 @@
 		}
 		e.run()
 	}
-	w.now = end
+	w.now = t
 }
 
 // pause freezes a party or lets it go on with everything that arrived.
@@ -269,15 +269,15 @@
 // look then.
 func (w *world) exclusive() {
 	for s := range shard.ID(shards) {
-		owner := -1
+		o := -1
 		for i, u := range w.upstreams {
 			if !u.executes(s) {
 				continue
 			}
-			if owner >= 0 {
-				w.fail("upstreams %d and %d would both execute for shard %v", owner, i, s)
+			if o >= 0 {
+				w.fail("upstreams %d and %d would both execute for shard %v", o, i, s)
 			}
-			owner = i
+			o = i
 		}
 	}
 }
