--- a/lease/instance_test.go
+++ b/lease/instance_test.go
@@ -86,10 +86,10 @@
 func (i *instance) commit(x txn, f func(bool, rows)) {
 	i.txns++
 	x.id = fmt.Sprintf("%d.%d.%d", i.id, i.run, i.txns)
-	done := false
-	end := func(ok bool, r rows) {
-		if !done {
-			done = true
+	d := false
+	e := func(ok bool, r rows) {
+		if !d {
+			d = true
 			i.w.table.acknowledge(x, ok)
 			if !ok {
 				i.w.stats["refused write"]++
@@ -97,22 +97,22 @@
 			f(ok, r)
 		}
 	}
-	var try func(first bool)
-	try = func(first bool) {
-		if done {
+	var t func(first bool)
+	t = func(first bool) {
+		if d {
 			return
 		}
 		if !first {
 			i.w.stats["write sent again"]++
 		}
 		if i.w.without == ruleSettle && !first {
-			i.read(func(r rows) { end(r.committed(x), r) })
+			i.read(func(r rows) { e(r.committed(x), r) })
 		} else {
-			i.attempt(x, end)
+			i.attempt(x, e)
 		}
-		i.after(200*time.Millisecond, func() { try(false) })
+		i.after(200*time.Millisecond, func() { t(false) })
 	}
-	try(true)
+	t(true)
 }
 
 func (i *instance) attempt(x txn, f func(bool, rows)) {
@@ -152,14 +152,14 @@
 
 // refresh reads the rows and confirms the homes.
 func (i *instance) refresh() {
-	sent := i.clock()
+	t := i.clock()
 	i.read(func(r rows) {
 		if i.w.without == ruleSentTime {
-			sent = i.clock()
+			t = i.clock()
 		}
 		for u, s := range i.seats {
-			if s != nil && r[u].version == s.row.version && sent > s.taken {
-				s.h.Confirm(sent)
+			if s != nil && r[u].version == s.row.version && t > s.taken {
+				s.h.Confirm(t)
 				s.ready = true
 			}
 		}
@@ -168,7 +168,7 @@
 }
 
 // takeover makes the instance the home of u unless another one is faster.
-func (i *instance) takeover(u *upstream, hold time.Duration) {
+func (i *instance) takeover(u *upstream, l limits) {
 	if s := i.seats[u.index]; s != nil && !s.retired {
 		return
 	}
@@ -178,21 +178,23 @@
 		if o.home.term > 0 && o.home.instance == int(i.id) && o.home.run == i.run && !o.home.released {
 			return
 		}
-		w := hold
-		p := o.home.hold
+		p := o.home.limits
 		if o.home.released {
-			p = 0
+			p.hold = 0
 		}
-		if i.w.without != ruleStatedHold {
-			w = StatedHold(hold, p)
+		w := l.stated(p)
+		if i.w.without == ruleStatedHold {
+			w.hold = l.hold
 		}
 		n := put{u.index, row{version: o.version, home: homeRow{int(i.id), i.run, o.home.term + 1, w, false}}}
-		sent := i.clock()
+		t := i.clock()
 		i.commit(txn{puts: []put{n}}, func(ok bool, r rows) {
 			if x := i.seats[u.index]; ok && (x == nil || x.row.version < n.version) {
 				n.version++
 				i.sit(u, n.row, Config{
-					Term: fence.Term(n.home.term), Hold: hold, PredecessorHold: p, ConfirmedAt: sent,
+					Term: fence.Term(n.home.term), ConfirmedAt: t,
+					Hold: l.hold, TTL: l.ttl, MaxRequest: l.request,
+					PredecessorHold: p.hold, PredecessorTTL: p.ttl, PredecessorMaxRequest: p.request,
 				})
 			}
 			i.learn(r)
@@ -202,13 +204,14 @@
 
 // sit starts the home of a term that is known to be committed.
 func (i *instance) sit(u *upstream, r row, c Config) {
-	c.TTL, c.MaxRequest, c.Fencing = testTTL, testMaxRequest, i.w.fencing
-	c.CommittedAt, c.Drift = i.clock(), i.w.drift
+	c.Fencing, c.CommittedAt, c.Drift = i.w.fencing, i.clock(), i.w.drift
 	switch i.w.without {
 	case ruleDrift:
 		c.Drift = 1e-9
 	case ruleTakeoverWait:
 		c.PredecessorHold = 0
+	case ruleStatedLimits:
+		c.PredecessorTTL, c.PredecessorMaxRequest = 0, 0
 	}
 	i.seats[u.index] = &seat{h: New(c), upstream: u, row: r, taken: c.CommittedAt, ready: i.w.without == ruleFreshRows}
 	i.w.log("instance %d is home of %d in term %d", i.id, u.index, c.Term)
@@ -221,14 +224,14 @@
 // tick drives all homes of the instance.
 func (i *instance) tick() {
 	i.ticks++
-	need := i.ticks%4 == 0
+	n := i.ticks%4 == 0
 	for _, s := range i.seats {
 		if s != nil {
 			i.drive(s)
-			need = need || s.h.NeedsConfirm()
+			n = n || s.h.NeedsConfirm()
 		}
 	}
-	if need {
+	if n {
 		i.refresh()
 	}
 	i.after(tickInterval, i.tick)
@@ -244,7 +247,7 @@
 		t, err := s.h.CanDispatch(i.clock(), x)
 		if err == nil && !i.w.fenced() && !i.w.cut[[2]party{i.id, s.upstream.id}] {
 			i.w.stats["dispatch"]++
-			i.w.dispatch(s.upstream, t)
+			i.w.dispatch(s.upstream, t, s.h.c.MaxRequest)
 		}
 	}
 	for _, m := range s.moves {
@@ -257,12 +260,12 @@
 	if !ok {
 		return
 	}
-	sent := i.clock()
+	t := i.clock()
 	call(i, s.upstream.id, func() Answer { return s.upstream.handle(m) }, func(a Answer) {
 		if s.h.bootID != "" && s.h.bootID != a.BootId {
 			i.w.stats["restarted upstream"]++
 		}
-		if errors.Is(s.h.Answer(sent, i.clock(), a), ErrSuperseded) {
+		if errors.Is(s.h.Answer(t, i.clock(), a), ErrSuperseded) {
 			i.w.stats["superseded by answer"]++
 		}
 		if i.w.without == ruleConfirmBoot {
@@ -362,7 +365,7 @@
 	}
 	s.leaving = true
 	n := s.row
-	n.home.released = true
+	n.home.limits, n.home.released = limits{s.h.c.Hold, s.h.c.TTL, s.h.c.MaxRequest}, true
 	i.commit(txn{puts: []put{{s.upstream.index, n}}}, func(ok bool, r rows) {
 		if ok {
 			i.w.stats["released row"]++
