node: tell the other homes of an instance of rows that a home applied

Cause: a home applies the rows of its own reads and commits to the directory itself, so that the announcement that follows finds nothing changed and tells no home. If the new owner of a shard has its home at the same instance, that home does not grant the shard until some other block row changes or its next confirmation, a quarter of the hold time later (by default 225 s). Requests on the shard are refused as not-granted meanwhile. Change: homes get the directory through a wrapper that tells the other homes of the instance.

--- a/internal/node/spread.go
+++ b/internal/node/spread.go
@@ -90,12 +90,31 @@
 }
 
 // apply takes rows into the directory and tells the homes that run here.
-func (n *Node) apply(rows []table.Row) {
-	changed := n.dir.Apply(rows...)
-	if len(changed) == 0 {
+func (n *Node) apply(rows []table.Row) { n.changed(n.dir.Apply(rows...), "") }
+
+// homeDirectory is the directory as a home uses it. What the home learns from
+// its own reads and commits concerns the other homes of the instance, too: an
+// upstream that got a shard from it may have its home here.
+type homeDirectory struct {
+	*route.Directory
+	n   *Node
+	key table.Key
+}
+
+// Apply implements home.Directory. It leaves the home itself out, which syncs
+// when it has drawn its own conclusions.
+func (d homeDirectory) Apply(rows ...table.Row) []table.Key {
+	l := d.Directory.Apply(rows...)
+	d.n.changed(l, d.key)
+	return l
+}
+
+// changed tells the homes that run here, except one, of changed rows.
+func (n *Node) changed(keys []table.Key, except table.Key) {
+	if len(keys) == 0 {
 		return
 	}
-	for _, k := range changed {
+	for _, k := range keys {
 		x, err := route.ParseKey(k)
 		if err != nil {
 			continue
@@ -104,20 +123,20 @@
 		case route.KindConfig:
 			r, _ := n.dir.Row(k)
 			n.events.Record("config-in-force", string(k), event.Uint("version", uint64(r.Version)))
-			n.syncHomes("")
+			n.syncHomes("", except)
 		case route.KindBlock:
-			n.syncHomes(x.Organisation + "/" + x.Service)
+			n.syncHomes(x.Organisation+"/"+x.Service, except)
 		}
 	}
 	n.takes.wake()
 }
 
 // syncHomes lets the homes of a service, or all for "", take over the owners in
-// the directory.
-func (n *Node) syncHomes(service string) {
+// the directory, except one.
+func (n *Node) syncHomes(service string, except table.Key) {
 	for k, h := range *n.homes.Load() {
 		x, err := route.ParseKey(k)
-		if err == nil && (service == "" || service == x.Organisation+"/"+x.Service) {
+		if err == nil && k != except && (service == "" || service == x.Organisation+"/"+x.Service) {
 			h.Sync()
 		}
 	}
@@ -216,4 +235,4 @@
 	return l, json.NewDecoder(r.Body).Decode(l)
 }
 
-var _ home.Directory = (*route.Directory)(nil)
+var _ home.Directory = homeDirectory{}
