node: test orders through whole instances under faults

Cause: that an order runs at most once and that not-run is true was tested for single packages, not with homes and entries that stop, shards that move and answers that are lost together. Change: callers repeat orders through any instance with rising attempt numbers while a walk injects faults; at the end the outcomes are compared with the runs that the stand-ins counted. With callers that state each attempt to be the first, orders run twice and are detected.

--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -77,10 +77,15 @@
 	// up is whether it runs, listed whether callers use it; the cluster's mu
 	// guards both.
 	up, listed bool
+	// killed is set before the member is stopped abruptly.
+	killed atomic.Bool
 	// picked counts callers that have chosen it and have not sent yet.
 	picked atomic.Int64
 }
 
+// alive reports whether the member was not killed.
+func (m *member) alive() bool { return !m.killed.Load() }
+
 // name is that of the member on the network.
 func (m *member) name() string { return fmt.Sprintf("%s.%d", m.id, m.run) }
 
@@ -229,6 +234,7 @@
 func (c *cluster) kill(m *member) {
 	c.mu.Lock()
 	m.up, m.listed = false, false
+	m.killed.Store(true)
 	c.mu.Unlock()
 	c.net.kill(m.name())
 	m.stop()
--- a/internal/node/config_walk_test.go
+++ b/internal/node/config_walk_test.go
@@ -401,6 +401,11 @@
 	w := newConfigWalk(t, func(s table.Store) table.Store { return s })
 	old := w.fake.Clone()
 	w.submit(w.running())
+	w.await("version observed", func() bool {
+		w.log.mu.Lock()
+		defer w.log.mu.Unlock()
+		return w.floor[0] >= w.current()
+	})
 	for _, m := range w.running() {
 		w.kill(m)
 	}
--- /dev/null
+++ b/internal/node/order_walk_test.go
@@ -0,0 +1,212 @@
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"dandelionrock.example/dandelionrock/internal/header"
+	"dandelionrock.example/dandelionrock/internal/model"
+	"dandelionrock.example/dandelionrock/internal/stand"
+	"dandelionrock.example/dandelionrock/shard"
+	"dandelionrock.example/dandelionrock/table"
+)
+
+const (
+	// orderTimeout is the time that callers give to one attempt.
+	orderTimeout = time.Second
+	// lateMs is the delay of requests that an upstream reads late.
+	lateMs = 300
+)
+
+// orderWalk is a cluster with callers that repeat orders under faults.
+type orderWalk struct {
+	*cluster
+	log
+	load   *load
+	orders []placed
+}
+
+// placed is an order with the outcomes of its attempts.
+type placed struct {
+	id  string
+	all []outcome
+}
+
+// newOrderWalk starts callers of a service with the given settings.
+func newOrderWalk(t *testing.T, settings string, restate bool) *orderWalk {
+	c := newCluster(t, 3, service{name: "orders", settings: settings + "\nshard-count = 8\nmax-timeout = \"2s\"", upstreams: 3})
+	w := &orderWalk{cluster: c.begin()}
+	w.load = &load{cluster: c, attempts: 4, restate: restate, log: &w.log, next: order, check: func(q request, l []outcome) {
+		w.orders = append(w.orders, placed{q.order, l})
+	}}
+	w.load.begin(8)
+	return w
+}
+
+// order returns a new order; half of the ids carry no time.
+func order(r *rand.Rand) request {
+	id := uuid.Must(uuid.NewV7()).String()
+	if r.IntN(2) == 0 {
+		id = "order-" + id
+	}
+	return request{service: "orders", account: "desk", key: fmt.Sprint("key-", r.IntN(64)), order: id, timeout: orderTimeout}
+}
+
+// fault changes the faults of one upstream until the next step.
+func (w *orderWalk) fault(x int, f stand.UpstreamFaults) {
+	w.ups[x%len(w.ups)].SetFaults(f)
+}
+
+// swing restarts the home of an upstream, or another instance.
+func (w *orderWalk) swing(x int) {
+	m := w.holder(w.ups[x%len(w.ups)].Name())
+	if m == nil {
+		m = w.members[x%len(w.members)]
+	}
+	if m.alive() {
+		w.kill(m)
+	}
+	w.load.pass(5)
+	w.start(m.index)
+}
+
+// move asks for a shard to be moved.
+func (w *orderWalk) move(x int) {
+	for _, m := range w.running() {
+		if y := m.node.dir.Map(organisation, "orders"); y != nil {
+			e, ok := y.Entry(shard.ID(x % 8))
+			if to := w.ups[(x+x/3)%3].Name(); ok && e.Upstream != to {
+				m.node.propose(organisation, "orders", []shard.Move{{Shard: shard.ID(x % 8), From: e.Upstream, To: to}})
+			}
+			return
+		}
+	}
+}
+
+// part cuts two instances, or an instance and an upstream, for a while.
+func (w *orderWalk) part(a, b string) {
+	w.net.sever(a, b, true)
+	w.load.pass(5)
+	w.net.sever(a, b, false)
+}
+
+func orderOperations() []func(w *orderWalk, x int) error {
+	do := func(name string, f func(w *orderWalk, x int)) func(w *orderWalk, x int) error {
+		return func(w *orderWalk, x int) error {
+			w.step("%s(%d)", name, x)
+			f(w, x)
+			w.load.pass(20)
+			return nil
+		}
+	}
+	return []func(w *orderWalk, x int) error{
+		do("kill a home", func(w *orderWalk, x int) { w.swing(x) }),
+		do("cut or lose answers", func(w *orderWalk, x int) {
+			w.fault(x, []stand.UpstreamFaults{{CutAnswers: 2}, {LoseAnswers: 2}, {LoseRequests: 2}}[x/3%3])
+		}),
+		do("mix answers up", func(w *orderWalk, x int) {
+			w.fault(x, []stand.UpstreamFaults{{SwapAnswers: 4}, {WrongRequestIDs: 2}, {DelayAnswersMs: 20}}[x/3%3])
+		}),
+		do("late runs", func(w *orderWalk, x int) { w.fault(x, stand.UpstreamFaults{LateRuns: 3, LateMs: lateMs}) }),
+		do("freeze", func(w *orderWalk, x int) { w.fault(x, stand.UpstreamFaults{FreezeMs: 300 + 50*x}) }),
+		do("restart upstream", func(w *orderWalk, x int) { w.fault(x, stand.UpstreamFaults{Restart: true}) }),
+		do("move", func(w *orderWalk, x int) { w.move(x) }),
+		do("lose store answer", func(w *orderWalk, x int) {
+			w.fake.FailNext([]table.Fault{table.LoseAnswer, table.LoseRequest, table.Postpone}[x%3])
+			w.move(x)
+			w.fake.Land()
+		}),
+		do("cut instances", func(w *orderWalk, x int) { w.part(w.members[x%3].name(), w.members[(x+1)%3].name()) }),
+		do("cut upstream", func(w *orderWalk, x int) { w.part(w.members[x%3].name(), w.ups[x/3].Name()) }),
+	}
+}
+
+// finish ends the load and compares what callers were told with the runs.
+func (w *orderWalk) finish() error {
+	defer w.end()
+	for _, u := range w.ups {
+		u.SetFaults(stand.UpstreamFaults{})
+	}
+	w.load.end()
+	time.Sleep(2 * lateMs * time.Millisecond) // late runs take effect until then
+	runs := map[string]uint64{}
+	for _, u := range w.ups {
+		for id, n := range u.Runs().Orders {
+			runs[id] += n
+		}
+	}
+	for _, p := range w.orders {
+		if s := p.wrong(runs[p.id]); s != "" {
+			w.violate("order %s: %s: %d runs, %s", p.id, s, runs[p.id], describe(p.all))
+		}
+	}
+	w.Logf("%d orders, outcomes %v", len(w.orders), w.load.kinds)
+	return w.verdict()
+}
+
+func describe(l []outcome) string {
+	s := ""
+	for _, o := range l {
+		s += fmt.Sprintf("[%s %s %s via %s %v]", o.kind, o.reason, o.id, o.via.name(), o.err)
+	}
+	return s
+}
+
+// wrong compares the outcomes of an order with its runs.
+func (p placed) wrong(runs uint64) string {
+	refused, answered := true, false
+	for _, o := range p.all {
+		refused = refused && o.kind == header.NotRun
+		answered = answered || o.kind == header.Answered && o.status == 200
+	}
+	switch {
+	case runs > 1:
+		return "ran twice"
+	case refused && runs > 0:
+		return "not-run is not true"
+	case answered && runs != 1:
+		return "answered without a run"
+	}
+	return ""
+}
+
+func walkOrders(t *testing.T, walks int, settings string) error {
+	return model.Property[*orderWalk]{
+		Seed: *seedFlag, Runs: walks, Length: 12, MaxArgument: 8,
+		New:        func() *orderWalk { return newOrderWalk(t, settings, false) },
+		Operations: orderOperations(),
+		Finish:     (*orderWalk).finish,
+	}.Check()
+}
+
+// Guards invariants 3, 4 and 5: an order that runs twice, a not-run that is not
+// true, an answer that is another's or incomplete, and a caller without an
+// outcome within 2 s after its deadline.
+func TestOrderWalks(t *testing.T) {
+	t.Parallel()
+	if err := walkOrders(t, *walksFlag, "idempotent = false"); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against walks that would not find an order that runs twice: here
+// callers state each attempt to be the first, so that the next home takes an
+// order that has run for a new one.
+func TestOrderWalksDetect(t *testing.T) {
+	t.Parallel()
+	w := newOrderWalk(t, "idempotent = false", true)
+	for range 3 {
+		w.fault(0, stand.UpstreamFaults{LoseAnswers: -1})
+		w.load.pass(10)
+		w.swing(0)
+	}
+	err := w.finish()
+	if err == nil {
+		t.Error("no order ran twice")
+	}
+	t.Log(err)
+}
