node: test that no two upstreams execute for one key at a time

Cause: the stand-ins counted runs without their times, so that an overlap of two owners of a key was not visible end to end. Change: RecordRuns makes a stand-in upstream keep the times of its runs. Conclusion: a home whose goroutines stop can't be played in one process; it is cut off instead.

--- a/internal/node/caller_test.go
+++ b/internal/node/caller_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dandelionrock.example/dandelionrock/internal/header"
@@ -130,7 +131,7 @@
 	next     func(r *rand.Rand) request
 	attempts int
 	// restate is a mutation: callers call each attempt the first.
-	restate bool
+	restate atomic.Bool
 	// check is told of all outcomes of one request, if set.
 	check func(q request, l []outcome)
 	log   *log
@@ -168,7 +169,7 @@
 			break
 		}
 		p := q
-		if l.restate {
+		if l.restate.Load() {
 			p.attempt = 1
 		}
 		o := l.send(context.Background(), m, p)
--- a/internal/node/order_walk_test.go
+++ b/internal/node/order_walk_test.go
@@ -36,14 +36,15 @@
 	all []outcome
 }
 
-// newOrderWalk starts callers of a service with the given settings.
-func newOrderWalk(t *testing.T, settings string, restate bool) *orderWalk {
-	c := newCluster(t, 3, service{name: "orders", settings: settings + "\nshard-count = 8\nmax-timeout = \"2s\"", upstreams: 3})
+// newOrderWalk starts callers that send what next returns.
+func newOrderWalk(t *testing.T, next func(r *rand.Rand) request, callers int) *orderWalk {
+	u := stand.UpstreamConfig{ServiceTime: stand.Duration(10 * time.Millisecond), RecordRuns: true}
+	c := newCluster(t, 3, service{name: "orders", settings: "idempotent = false\nshard-count = 8\nmax-timeout = \"5s\"", upstreams: 3, upstream: u})
 	w := &orderWalk{cluster: c.begin()}
-	w.load = &load{cluster: c, attempts: 4, restate: restate, log: &w.log, next: order, check: func(q request, l []outcome) {
+	w.load = &load{cluster: c, attempts: 4, log: &w.log, next: next, check: func(q request, l []outcome) {
 		w.orders = append(w.orders, placed{q.order, l})
 	}}
-	w.load.begin(8)
+	w.load.begin(callers)
 	return w
 }
 
@@ -121,6 +122,7 @@
 			w.fake.Land()
 		}),
 		do("cut instances", func(w *orderWalk, x int) { w.part(w.members[x%3].name(), w.members[(x+1)%3].name()) }),
+		do("isolate a home", func(w *orderWalk, x int) { w.isolate(x) }),
 		do("cut upstream", func(w *orderWalk, x int) { w.part(w.members[x%3].name(), w.ups[x/3].Name()) }),
 	}
 }
@@ -144,6 +146,7 @@
 			w.violate("order %s: %s: %d runs, %s", p.id, s, runs[p.id], describe(p.all))
 		}
 	}
+	w.overlaps()
 	w.Logf("%d orders, outcomes %v", len(w.orders), w.load.kinds)
 	return w.verdict()
 }
@@ -174,10 +177,10 @@
 	return ""
 }
 
-func walkOrders(t *testing.T, walks int, settings string) error {
+func walkOrders(t *testing.T, walks int) error {
 	return model.Property[*orderWalk]{
 		Seed: *seedFlag, Runs: walks, Length: 12, MaxArgument: 8,
-		New:        func() *orderWalk { return newOrderWalk(t, settings, false) },
+		New:        func() *orderWalk { return newOrderWalk(t, order, 8) },
 		Operations: orderOperations(),
 		Finish:     (*orderWalk).finish,
 	}.Check()
@@ -188,7 +191,7 @@
 // outcome within 2 s after its deadline.
 func TestOrderWalks(t *testing.T) {
 	t.Parallel()
-	if err := walkOrders(t, *walksFlag, "idempotent = false"); err != nil {
+	if err := walkOrders(t, *walksFlag); err != nil {
 		t.Error(err)
 	}
 }
@@ -198,7 +201,8 @@
 // order that has run for a new one.
 func TestOrderWalksDetect(t *testing.T) {
 	t.Parallel()
-	w := newOrderWalk(t, "idempotent = false", true)
+	w := newOrderWalk(t, order, 8)
+	w.load.restate.Store(true)
 	for range 3 {
 		w.fault(0, stand.UpstreamFaults{LoseAnswers: -1})
 		w.load.pass(10)
--- a/internal/stand/execute.go
+++ b/internal/stand/execute.go
@@ -47,6 +47,8 @@
 	timeout             time.Duration
 	bytes               int64
 	fenced, interrupted bool
+	// began is when the request had a slot.
+	began time.Time
 }
 
 // Answer is the body of an upstream's answer.
@@ -147,6 +149,7 @@
 	case <-b.done:
 		return dropped
 	}
+	q.began = time.Now()
 	u.executing(1)
 	defer u.executing(-1)
 	t := time.NewTimer(u.serviceTime(b))
@@ -201,6 +204,9 @@
 		return u.refuseLocked(refusedStale)
 	}
 	u.runs.count(q)
+	if u.config.RecordRuns {
+		u.recorded = append(u.recorded, Run{u.config.Name, q.key, q.began, time.Now()})
+	}
 	return answer(http.StatusOK, Answer{
 		Upstream: u.config.Name, BootID: b.id, Key: q.key, RequestID: q.id, OrderID: q.order,
 		Method: q.method, Path: q.path, BodyBytes: q.bytes,
--- a/internal/stand/runs.go
+++ b/internal/stand/runs.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 	"sync"
 	"time"
 )
@@ -27,6 +28,22 @@
 	LastStartAfterDrainMs int64 `json:"last-start-after-drain-ms"`
 }
 
+// Run is one execution that took effect. Times of all upstreams of a process are
+// of the same clock.
+type Run struct {
+	Upstream, Key string
+	// Began is when the request had a slot, Ended when it took effect.
+	Began, Ended time.Time
+}
+
+// Recorded returns the runs so far in the order of their ends; none unless
+// RecordRuns is set.
+func (u *Upstream) Recorded() []Run {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.Clone(u.recorded)
+}
+
 func (r *Runs) clear() {
 	r.Orders, r.Keys, r.Refused = map[string]uint64{}, map[string]uint64{}, map[string]uint64{}
 }
--- a/internal/stand/upstream.go
+++ b/internal/stand/upstream.go
@@ -48,8 +48,10 @@
 	// DrainTime is the time for which a draining upstream still takes requests.
 	DrainTime Duration `toml:"drain-time" long:"drain-time" default:"3s" description:"time for which requests are taken while draining"`
 	// AnswerBytes is added to the length of each answer.
-	AnswerBytes int            `toml:"answer-bytes" long:"answer-bytes" description:"bytes added to each answer"`
-	Log         zerolog.Logger `toml:"-" no-flag:"true"`
+	AnswerBytes int `toml:"answer-bytes" long:"answer-bytes" description:"bytes added to each answer"`
+	// RecordRuns keeps the times of all runs for Upstream.Recorded.
+	RecordRuns bool           `toml:"-" no-flag:"true"`
+	Log        zerolog.Logger `toml:"-" no-flag:"true"`
 }
 
 func (c *UpstreamConfig) check() error {
@@ -87,6 +89,8 @@
 	// leaving is set when Drain was called.
 	leaving bool
 	runs    Runs
+	// recorded is empty unless the configuration asks for it.
+	recorded []Run
 }
 
 // boot is one run of the upstream's process.
