--- a/cmd/bench/timeline.go
+++ b/cmd/bench/timeline.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"time"
 
 	"dandelionrock.example/dandelionrock/event"
@@ -13,18 +15,24 @@
 func (l *layout) timeline(x context.Context, since time.Time) []event.Event {
 	var a [][]event.Event
 	for _, i := range l.Instances {
-		c, f := context.WithTimeout(x, 2*time.Second)
-		e, _, err := l.operator(i, "").Timeline(c)
-		f()
-		if err != nil {
-			continue
-		}
+		seen := map[uint64]bool{}
 		var r []event.Event
-		for _, y := range e {
-			if !event.Time(y.Clock).Before(since) {
-				r = append(r, y)
+		for o := range l.Texts {
+			c, f := context.WithTimeout(x, 2*time.Second)
+			e, _, err := l.operator(i, o).Timeline(c)
+			f()
+			if err != nil {
+				continue
+			}
+			for _, y := range e {
+				// Events of the instance itself are in the timelines of all.
+				if !seen[y.Clock] && !event.Time(y.Clock).Before(since) {
+					seen[y.Clock] = true
+					r = append(r, y)
+				}
 			}
 		}
+		slices.SortFunc(r, func(x, y event.Event) int { return cmp.Compare(x.Clock, y.Clock) })
 		a = append(a, r)
 	}
 	return event.Merge(a...)
--- a/cmd/bench/wait.go
+++ b/cmd/bench/wait.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"slices"
 	"time"
@@ -49,6 +50,10 @@
 		if err == nil || !errors.Is(err, admin.ErrNotRun) {
 			return err
 		}
+		var o *net.OpError
+		if !errors.As(err, &o) {
+			fmt.Fprintf(os.Stderr, "submit of %s: %v\n", organisation, err)
+		}
 		if !sleep(x, 50*time.Millisecond) {
 			return errors.Wrap(err, organisation)
 		}
@@ -72,13 +77,7 @@
 func (l *layout) homes(x context.Context) (map[string]admin.Home, map[string]string) {
 	h, at := map[string]admin.Home{}, map[string]string{}
 	for _, i := range l.Instances {
-		c, f := context.WithTimeout(x, time.Second)
-		s, err := l.operator(i, "").Status(c)
-		f()
-		if err != nil {
-			continue
-		}
-		for _, y := range s.Homes {
+		for _, y := range l.homesAt(x, i) {
 			k := y.Organisation + "/" + y.Service + "/" + y.Upstream
 			if o, ok := h[k]; !ok || o.Term < y.Term {
 				h[k], at[k] = y, i.ID
@@ -88,6 +87,22 @@
 	return h, at
 }
 
+// homesAt returns the homes at an instance. An operator sees only those of one
+// organisation.
+func (l *layout) homesAt(x context.Context, i instance) []admin.Home {
+	var r []admin.Home
+	for o := range l.Texts {
+		c, f := context.WithTimeout(x, time.Second)
+		s, err := l.operator(i, o).Status(c)
+		f()
+		if err != nil {
+			return nil
+		}
+		r = append(r, s.Homes...)
+	}
+	return r
+}
+
 // settled waits until all homes run and serve all shards, of which there may be
 // more than configured: hot keys get shards of their own.
 func (l *layout) settled(x context.Context) error {
