node: let all homes see the rows that one home has read

A home put the rows that it read or committed into the directory without telling the other homes of its instance. The announcement of the same rows then changed nothing, so that a home that had read the blocks before their creation stayed without shards: seen with 76 homes at 12 instances as "1471 of 1536 shards are served", with stock-03, stock-05 and dye-lot-11 without shards for 20 s, and with 28 homes as 491 of 512. Rows now go through the instance, which tells every home of the service.

--- a/internal/node/spread.go
+++ b/internal/node/spread.go
@@ -90,10 +90,10 @@
 }
 
 // apply takes rows into the directory and tells the homes that run here.
-func (n *Node) apply(rows []table.Row) {
+func (n *Node) apply(rows []table.Row) []table.Key {
 	changed := n.dir.Apply(rows...)
 	if len(changed) == 0 {
-		return
+		return nil
 	}
 	for _, k := range changed {
 		x, err := route.ParseKey(k)
@@ -110,8 +110,19 @@
 		}
 	}
 	n.takes.wake()
+	return changed
+}
+
+// homeDirectory is the directory as homes use it. Rows that one home has read or
+// committed concern the other homes of the instance, too.
+type homeDirectory struct {
+	*route.Directory
+	n *Node
 }
 
+// Apply implements home.Directory.
+func (d homeDirectory) Apply(rows ...table.Row) []table.Key { return d.n.apply(rows) }
+
 // syncHomes lets the homes of a service, or all for "", take over the owners in
 // the directory.
 func (n *Node) syncHomes(service string) {
@@ -216,4 +227,4 @@
 	return l, json.NewDecoder(r.Body).Decode(l)
 }
 
-var _ home.Directory = (*route.Directory)(nil)
+var _ home.Directory = homeDirectory{}
--- a/internal/node/take.go
+++ b/internal/node/take.go
@@ -357,7 +357,7 @@
 	h := home.New(home.Config{
 		Key: x.key, Version: r.Version, Taken: taken, Lease: l,
 		Service: x.service, Upstream: x.upstream, Instance: n.self.ID,
-		Directory: n.dir, Store: n.store,
+		Directory: homeDirectory{n.dir, n}, Store: n.store,
 		Granter: home.NewGrantClient(x.upstream.Address, n.dial),
 		Sender: home.NewUpstream(home.UpstreamOptions{
 			Address: x.upstream.Address, Connections: x.upstream.Connections - 1,
