node: let the submits of a race overlap on a busy machine

Cause: TestConfigWalksDetect must find a table without conditions by submits that race; with a delay of 5 ms the submits sometimes ran one after another, and 2 of 6 runs found nothing. Change: each call of the table takes 50 ms in this test.

--- a/internal/node/config_walk_test.go
+++ b/internal/node/config_walk_test.go
@@ -380,7 +380,7 @@
 		"hasty": func(s table.Store) table.Store { return hasty{s} },
 	} {
 		w := newConfigWalk(t, f)
-		w.fake.SetDelay(5 * time.Millisecond) // so that the submits of a race overlap
+		w.fake.SetDelay(50 * time.Millisecond) // so that the submits of a race overlap
 		for range 3 {
 			w.submit(w.running())
 			w.fake.FailNext(table.LoseAnswer)
