--- a/internal/home/dispatch.go
+++ b/internal/home/dispatch.go
@@ -57,6 +57,7 @@
 	}
 	y := h.c.Sender.Send(c, r, t, func() error { return h.permit(t) })
 	h.end(c, t.Shard, y.GetOutcome() != schema.Outcome_OUTCOME_UNKNOWN)
+	h.depth.note(y)
 	h.hot.add(t.Shard, r.GetKey())
 	y.Epoch = uint64(t.Epoch)
 	return y
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -82,6 +82,7 @@
 	orders *order.Record[*schema.ForwardReply]
 	gate   *queue.Gate[string]
 	hot    *load
+	depth  *depth
 
 	mu sync.Mutex
 	// lease, flights, moves and splits are guarded by mu.
@@ -141,6 +142,7 @@
 		stop:       f,
 		life:       x,
 	}
+	h.depth = &depth{gate: h.gate, slots: c.Upstream.Slots}
 	for _, d := range []func(){h.renewLoop, h.confirmLoop, h.moveLoop} {
 		h.done.Go(d)
 	}
--- a/internal/home/move.go
+++ b/internal/home/move.go
@@ -17,8 +17,11 @@
 
 const (
 	// movePoll is how often the mover looks whether the upstream has to be
-	// evacuated or a released shard may be committed.
-	movePoll = 20 * time.Millisecond
+	// evacuated. Answers of the upstream and requests that end wake it at once.
+	movePoll = 100 * time.Millisecond
+	// movingPoll is the same while shards are being moved: grants expire without
+	// a signal.
+	movingPoll = 10 * time.Millisecond
 	// settleTimeout bounds one attempt to settle a transaction, after which the
 	// mover looks at the state of the home again.
 	settleTimeout = 2 * time.Second
@@ -47,7 +50,7 @@
 }
 
 func (h *Home) moveLoop() {
-	for h.wait(h.moveNow, movePoll) {
+	for h.wait(h.moveNow, h.movePause()) {
 		h.planEvacuation()
 		if h.pendingTxn() {
 			h.settle()
@@ -58,6 +61,16 @@
 	}
 }
 
+// movePause returns how long the mover may sleep without a signal.
+func (h *Home) movePause() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.moves) > 0 || h.silent(h.c.Now()) > h.c.Lease.TTL/2 {
+		return movingPoll
+	}
+	return movePoll
+}
+
 // planEvacuation asks for all shards to be moved once the upstream drains or
 // has been silent for too long.
 func (h *Home) planEvacuation() {
--- a/internal/node/beat.go
+++ b/internal/node/beat.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"dandelionrock.example/dandelionrock/event"
 	"dandelionrock.example/dandelionrock/peer"
 	"dandelionrock.example/dandelionrock/route"
@@ -139,11 +141,18 @@
 	return m
 }
 
-// beat sends a heartbeat to every other instance. The reply is one, too.
+// callsFirst reports whether this instance has to call another one. The reply to
+// a heartbeat is one, too, so that of two instances only one calls, unless it
+// has not been heard for more than an interval.
+func (n *Node) callsFirst(p peer.Instance) bool {
+	return n.self.ID < p.ID || now().Sub(p.Heard) > n.s.HeartbeatInterval*3/2
+}
+
+// beat exchanges heartbeats with the other instances.
 func (n *Node) beat() {
 	m := n.heartbeat()
 	for _, p := range n.others() {
-		if !n.views.begin(p.ID) {
+		if !n.callsFirst(p) || !n.views.begin(p.ID) {
 			continue
 		}
 		n.work.Go(func() {
@@ -151,8 +160,10 @@
 			c, f := context.WithTimeout(n.life, n.s.SuspectAfter)
 			defer f()
 			var r schema.HeartbeatReply
+			x := proto.CloneOf(m)
+			x.TripUs = n.views.trip(p.ID).Microseconds()
 			begin := time.Now()
-			if n.pool.Call(c, p.RPCAddress, "Peer.Heartbeat", m, &r) == nil {
+			if n.pool.Call(c, p.RPCAddress, "Peer.Heartbeat", x, &r) == nil {
 				n.views.timed(p.ID, time.Since(begin))
 				n.heard(r.GetSelf())
 			}
@@ -222,6 +233,10 @@
 // Heartbeat takes a heartbeat and returns that of this instance.
 func (p *Peer) Heartbeat(m *schema.HeartbeatRequest, r *schema.HeartbeatReply) error {
 	p.n.heard(m)
+	if d := m.GetTripUs(); d > 0 {
+		// Only one of two instances calls and measures.
+		p.n.views.timed(m.GetInstanceId(), time.Duration(d)*time.Microsecond)
+	}
 	r.Self = p.n.heartbeat()
 	return nil
 }
--- a/internal/node/take.go
+++ b/internal/node/take.go
@@ -24,7 +24,7 @@
 const (
 	// takeInterval is how often an instance looks for homes to take over, apart
 	// from changes that wake it.
-	takeInterval = 50 * time.Millisecond
+	takeInterval = 100 * time.Millisecond
 	// rankDelay is how much longer each further successor waits, for the case
 	// that those before it can't take over.
 	rankDelay = 300 * time.Millisecond
