--- a/lease/mutation_test.go
+++ b/lease/mutation_test.go
@@ -22,27 +22,29 @@
 
 var mutations = []mutation{
 	{ruleUpstreamClock, config.FencingChecked, 11, ""},
-	{ruleSequence, config.FencingChecked, 8, "network move wait retire"},
-	{ruleTerm, config.FencingChecked, 2, "network move wait takeover depose"},
+	{ruleSequence, config.FencingChecked, 18, "network move wait retire"},
+	{ruleTerm, config.FencingChecked, 18, "network move wait takeover depose"},
 	{ruleHomeRow, config.FencingChecked, 8, ""},
 	{ruleHomeRow, config.FencingNone, 3, ""},
 	{ruleRowVersion, config.FencingChecked, 3, ""},
 	{ruleRowVersion, config.FencingNone, 3, ""},
-	{ruleTakeoverWait, config.FencingChecked, 10, "usurp move wait"},
+	{ruleTakeoverWait, config.FencingChecked, 15, "usurp move wait"},
 	{ruleTakeoverWait, config.FencingNone, 3, "usurp move wait"},
 	{ruleLapse, config.FencingChecked, 3, ""},
 	{ruleLapse, config.FencingNone, 4, ""},
-	{ruleSentTime, config.FencingChecked, 2, "network usurp move wait"},
-	{ruleSentTime, config.FencingNone, 2, "network usurp move wait"},
-	{ruleSettle, config.FencingChecked, 12, "network move wait"},
-	{ruleSettle, config.FencingNone, 10, "network move wait"},
-	{ruleDrift, config.FencingChecked, 9, "wait move cut usurp restart"},
-	{ruleDrift, config.FencingNone, 6, "wait move cut usurp restart"},
+	{ruleSentTime, config.FencingChecked, 17, "network usurp move wait"},
+	{ruleSentTime, config.FencingNone, 24, "network usurp move wait"},
+	{ruleSettle, config.FencingChecked, 20, "network move wait"},
+	{ruleSettle, config.FencingNone, 4, "network move wait"},
+	{ruleDrift, config.FencingChecked, 15, "wait move cut usurp restart"},
+	{ruleDrift, config.FencingNone, 12, "wait move cut usurp restart"},
 	{ruleConfirmBoot, config.FencingChecked, 10, "depose move reboot wait"},
-	{ruleStatedHold, config.FencingChecked, 5, "usurp move wait"},
-	{ruleStatedHold, config.FencingNone, 5, "usurp move wait"},
-	{ruleRetireWait, config.FencingChecked, 5, "usurp move wait retire"},
-	{ruleRetireWait, config.FencingNone, 11, "usurp move wait retire"},
+	{ruleStatedHold, config.FencingChecked, 24, "usurp move wait"},
+	{ruleStatedHold, config.FencingNone, 22, "usurp move wait"},
+	{ruleRetireWait, config.FencingChecked, 22, "usurp move wait retire"},
+	{ruleRetireWait, config.FencingNone, 3, "usurp move wait retire"},
+	{ruleStatedLimits, config.FencingChecked, 23, "usurp move wait"},
+	{ruleStatedLimits, config.FencingNone, 4, "usurp move wait"},
 	{ruleFreshRows, config.FencingChecked, 9, "takeover race move wait network"},
 	{ruleFreshRows, config.FencingNone, 10, "takeover race move wait network"},
 }
@@ -54,13 +56,13 @@
 
 // hunt reports the seed, up to n, that shows a violation after the fewest walks.
 func (m mutation) hunt(t *testing.T, n int64) {
-	best, seed := maxWalks, int64(0)
-	for s := int64(1); s <= n && best > 0; s++ {
-		if r := m.check(m.without, s, best); !r.Passed() {
-			best, seed = r.Succeeded, s
+	b, k := maxWalks, int64(0)
+	for s := int64(1); s <= n && b > 0; s++ {
+		if r := m.check(m.without, s, b); !r.Passed() {
+			b, k = r.Succeeded, s
 		}
 	}
-	t.Logf("%v, %v: seed %d shows a violation after %d walks", m.without, m.fencing, seed, best)
+	t.Logf("%v, %v: seed %d shows a violation after %d walks", m.without, m.fencing, k, b)
 }
 
 // Guards against an oracle that is blind: each rule, left out of the model,
--- a/lease/table_test.go
+++ b/lease/table_test.go
@@ -16,10 +16,18 @@
 type homeRow struct {
 	instance, run int
 	term          uint64
-	hold          time.Duration
+	limits        limits
 	released      bool
 }
 
+// limits bound for how long a home and what it sent can act.
+type limits struct{ hold, ttl, request time.Duration }
+
+// stated returns what the row of a successor to p must state.
+func (l limits) stated(p limits) limits {
+	return limits{StatedHold(l.hold, p.hold), StatedHold(l.ttl, p.ttl), StatedHold(l.request, p.request)}
+}
+
 type assignment struct {
 	upstream int
 	epoch    shard.Epoch
@@ -114,13 +122,13 @@
 		t.w.fail("transaction %s took effect after it was reported as refused", x.id)
 	}
 	for _, p := range x.puts {
-		old := t.rows[p.key]
-		p.version = old.version + 1
-		p.txns = append(slices.Clone(old.txns), x.id)
+		o := t.rows[p.key]
+		p.version = o.version + 1
+		p.txns = append(slices.Clone(o.txns), x.id)
 		p.txns = p.txns[max(0, len(p.txns)-keptTxns):]
-		t.watch(old.home, p.home)
+		t.watch(o.home, p.home)
 		if p.key == blockKey {
-			t.watchBlock(old.block, p.block)
+			t.watchBlock(o.block, p.block)
 		}
 		t.rows[p.key] = p.row
 	}
