Renew grants by reference to the set in force

Cause: renewals are most of the control traffic of an idle instance, and each listed all shards of the upstream again. Change: a renewal names the acknowledged message that listed the same shards; the upstream refuses the name of any other set than the one in force, and the home lists the shards again after a refusal.

--- a/fence/fence.go
+++ b/fence/fence.go
@@ -58,6 +58,8 @@
 	sequence uint64
 	// granted is the set of the last accepted message.
 	granted map[shard.ID]shard.Epoch
+	// stated is the sequence of the message that stated granted.
+	stated uint64
 	// expiry is the first instant at which granted is no longer in force.
 	expiry   clock.Time
 	draining bool
@@ -92,14 +94,18 @@
 
 // acceptable reports whether m is newer than the last accepted message. Only a
 // greeting, which grants nothing, starts a term; a grant must name this run of
-// the upstream and a reading that this run has given out.
+// the upstream and a reading that this run has given out. A message that renews
+// the shards of an earlier one is refused if others were stated since.
 func (g *Guard) acceptable(now clock.Time, m *schema.GrantRequest) bool {
 	t := Term(m.GetTerm())
 	if t < g.term || t == g.term && m.GetSequence() <= g.sequence {
 		return false
 	}
 	if m.GetBootId() == "" {
-		return len(m.GetShards()) == 0
+		return len(m.GetShards()) == 0 && m.GetSameAs() == 0
+	}
+	if n := m.GetSameAs(); n != 0 && (n != g.stated || len(m.GetShards()) > 0) {
+		return false
 	}
 	return t == g.term && m.GetBootId() == g.bootID &&
 		m.GetReadingUs() <= microseconds(now) &&
@@ -108,9 +114,12 @@
 
 func (g *Guard) apply(m *schema.GrantRequest) {
 	g.term, g.sequence = Term(m.GetTerm()), m.GetSequence()
-	g.granted = make(map[shard.ID]shard.Epoch, len(m.GetShards()))
-	for _, s := range m.GetShards() {
-		g.granted[shard.ID(s.GetShard())] = shard.Epoch(s.GetEpoch())
+	if m.GetSameAs() == 0 {
+		g.stated = g.sequence
+		g.granted = make(map[shard.ID]shard.Epoch, len(m.GetShards()))
+		for _, s := range m.GetShards() {
+			g.granted[shard.ID(s.GetShard())] = shard.Epoch(s.GetEpoch())
+		}
 	}
 	d := time.Duration(m.GetTtlUs()) * time.Microsecond
 	g.expiry = clock.Time(m.GetReadingUs() * int64(time.Microsecond)).Add(d)
--- a/fence/fence_test.go
+++ b/fence/fence_test.go
@@ -24,6 +24,12 @@
 	return m
 }
 
+func sameAs(sequence uint64, shards ...uint32) *schema.GrantRequest {
+	m := message(5, 3, "b", 1_000_000, shards...)
+	m.SameAs = sequence
+	return m
+}
+
 // Each case starts from a Guard in term 5 that accepted sequence 2 with shard 7
 // in epoch 3 at one second. Guards against a message that is accepted out of
 // order, for another run of the upstream or with an impossible reading, and
@@ -51,6 +57,9 @@
 		{"another boot id", message(5, 3, "a", 1_000_000, 8), false, 5, 7},
 		{"reading of the future", message(5, 3, "b", 1_000_001, 8), false, 5, 7},
 		{"excessive time to live", long, false, 5, 7},
+		{"renewal by reference", sameAs(2), true, 5, 7},
+		{"reference to another set", sameAs(1), false, 5, 7},
+		{"reference with shards", sameAs(2, 8), false, 5, 7},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := New("b")
--- a/lease/grant.go
+++ b/lease/grant.go
@@ -14,7 +14,8 @@
 const maxSent = 64
 
 // Grant returns the next message to the upstream, or false if the home has no
-// authority to send one. The message states the whole set of granted shards.
+// authority to send one. The message states the whole set of granted shards, or
+// names an acknowledged message that stated the same set.
 // It is a greeting without grants until the upstream's present run has adopted
 // the term and a later read has confirmed the home row. Each call uses up a
 // sequence number; a message need not arrive.
@@ -35,10 +36,19 @@
 		return m, true
 	}
 	m.BootId, m.ReadingUs, m.TtlUs = h.bootID, h.readingUs, h.c.TTL.Microseconds()
-	m.Shards = h.state()
+	l := h.state()
+	if h.stated != 0 && h.acked >= h.stated && slices.EqualFunc(l, h.set, sameShard) {
+		m.SameAs = h.stated
+		return m, true
+	}
+	m.Shards, h.stated, h.set = l, h.sequence, l
 	return m, true
 }
 
+func sameShard(a, b *schema.GrantedShard) bool {
+	return a.GetShard() == b.GetShard() && a.GetEpoch() == b.GetEpoch()
+}
+
 // state returns the shards of the message h.sequence in ascending order and
 // records that they were sent. The upstream gave the reading that the grants
 // are counted from before it arrived here at readAt.
@@ -91,6 +101,9 @@
 	if t == h.c.Term {
 		h.adopted, h.fenced = true, true
 		h.acknowledge(a.GetSequence())
+		if !a.GetAccepted() {
+			h.stated = 0
+		}
 	}
 	return nil
 }
@@ -99,7 +112,7 @@
 // given time to expire, since the boot id alone does not prove that it ended.
 func (h *Home) learn(now clock.Time, id string) {
 	h.bootID, h.learned, h.adopted = id, now, false
-	h.acked, h.ackedUntil, h.sent = 0, 0, nil
+	h.acked, h.ackedUntil, h.sent, h.stated = 0, 0, nil, 0
 	h.readingUs, h.readAt = 0, 0
 	for _, e := range h.shards {
 		e.first, e.last, e.floor = 0, 0, e.until
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -105,6 +105,10 @@
 	// readingUs is the highest clock reading of run bootID, received at readAt.
 	readingUs int64
 	readAt    clock.Time
+	// stated is the sequence of the last message that listed its shards, which
+	// are set; 0 if the next message must list them.
+	stated uint64
+	set    []*schema.GrantedShard
 	// sent lists messages with grants that await an acknowledgement, oldest
 	// first. The grants of message acked have expired at ackedUntil.
 	sent       []mark
