home: answer unknown for orders older than the gain of their shard

Cause: rule 7 compared a repeated order id with the term of the home only. A shard that moves comes to a home whose term may be older than the order, but whose record knows nothing of it: an order that ran at the former owner and was repeated with a higher attempt number was taken for new and ran again. Change: the home notes when it gains a shard in an epoch. Ids that are not younger than that plus the clock skew are unknown, and an order runs only in the epoch for which its record was asked.

--- a/internal/home/dispatch.go
+++ b/internal/home/dispatch.go
@@ -35,7 +35,9 @@
 }
 
 // run executes a request once, or returns a reply that says that it did not run.
-func (h *Home) run(c context.Context, r *schema.ForwardRequest) *schema.ForwardReply {
+// It runs only in the given epoch of the shard, if that is not 0: what the
+// record of orders tells about a repeat holds only for that.
+func (h *Home) run(c context.Context, r *schema.ForwardRequest, e shard.Epoch) *schema.ForwardReply {
 	if y := h.refuse(r.GetKey()); y != nil {
 		return y
 	}
@@ -44,7 +46,7 @@
 		return notRun(queueReason(err), errors.Is(err, queue.ErrClosed))
 	}
 	defer free()
-	t, err := h.begin(r.GetKey())
+	t, err := h.begin(r.GetKey(), e)
 	if err != nil {
 		return notRun(dispatchReason(err), true)
 	}
@@ -102,7 +104,7 @@
 
 // begin checks the authority over the key and counts the request as in flight.
 // The authority is checked again by permit when the request is written.
-func (h *Home) begin(key string) (fence.Token, error) {
+func (h *Home) begin(key string, e shard.Epoch) (fence.Token, error) {
 	i, owner := h.find(key)
 	if owner != h.c.Upstream.Name {
 		return fence.Token{}, lease.ErrNotHeld
@@ -113,6 +115,9 @@
 	if err != nil {
 		return fence.Token{}, err
 	}
+	if e != 0 && t.Epoch != e {
+		return fence.Token{}, lease.ErrNotHeld
+	}
 	f := h.flights[i]
 	if f == nil {
 		f = &flight{}
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -89,7 +89,9 @@
 	flights map[shard.ID]*flight
 	// moves holds the wanted owner of each shard that shall move, or
 	// mergeTarget.
-	moves  map[shard.ID]string
+	moves map[shard.ID]string
+	// gains holds the last gain of each shard that the upstream owns or owned.
+	gains  map[shard.ID]gain
 	splits map[shard.KeyHash]bool
 	// synced is whether the shards were read by a read that was sent after the
 	// commit of the term. Older rows may precede a move by the predecessor.
@@ -108,6 +110,12 @@
 	done                          sync.WaitGroup
 }
 
+// gain is when the home learned that the upstream owns a shard in an epoch.
+type gain struct {
+	epoch shard.Epoch
+	at    time.Time
+}
+
 // flight counts the requests on one shard that the upstream may be executing.
 type flight struct {
 	count int
@@ -134,6 +142,7 @@
 		hot:        newLoad(),
 		flights:    make(map[shard.ID]*flight),
 		moves:      make(map[shard.ID]string),
+		gains:      make(map[shard.ID]gain),
 		splits:     make(map[shard.KeyHash]bool),
 		renewNow:   make(chan struct{}, 1),
 		confirmNow: make(chan struct{}, 1),
@@ -298,6 +307,9 @@
 	m.All(func(i shard.ID, e shard.Entry) bool {
 		if e.Upstream == h.c.Upstream.Name {
 			h.lease.Add(i, e.Epoch)
+			if e.Epoch > h.gains[i].epoch {
+				h.gains[i] = gain{e.Epoch, time.Now()}
+			}
 		}
 		return true
 	})
--- a/order/order.go
+++ b/order/order.go
@@ -66,6 +66,10 @@
 	Attempt uint32
 	// Fingerprint tells whether a repeated request is the same.
 	Fingerprint uint64
+	// Since is when the home became responsible for the key, if that was after
+	// the begin of its term: ids that are not younger may have been recorded by
+	// the home of the owner before.
+	Since time.Time
 }
 
 // Fingerprint returns a hash of the parts that make up a request.
@@ -212,8 +216,11 @@
 		return true
 	}
 	// A time in the future says nothing about the age of the id.
-	skew := r.options.Skew
-	return stamp > r.options.Term.Add(skew).UnixMilli() && stamp <= now.Add(skew).UnixMilli()
+	skew, since := r.options.Skew, r.options.Term
+	if q.Since.After(since) {
+		since = q.Since
+	}
+	return stamp > since.Add(skew).UnixMilli() && stamp <= now.Add(skew).UnixMilli()
 }
 
 func (r *Record[R]) floorOf(name string) int64 {
--- a/order/order_test.go
+++ b/order/order_test.go
@@ -46,6 +46,10 @@
 			t.Errorf("%s: %v, want %v", tc.name, d.Kind, tc.want)
 		}
 	}
+	q := Request{ID: makeID(epoch.Add(2*time.Second), 0), Attempt: 2, Since: epoch.Add(time.Second)}
+	if d := NewRecord(Options{Term: epoch}, size).Begin(epoch.Add(10*time.Second), q); d.Kind != Unknown {
+		t.Errorf("younger than the term, not than the gain of the shard: %v", d.Kind)
+	}
 }
 
 // Guards against an account that makes another one forget its ids.
