--- a/internal/node/own_test.go
+++ b/internal/node/own_test.go
@@ -63,7 +63,9 @@
 // freezeAndMove freezes an upstream while it executes requests and has others
 // in its buffers, until its shards have moved, and lets it return.
 func freezeAndMove(w *orderWalk, f stand.UpstreamFaults) {
-	w.load.pass(20)
+	f.SlowMs = 100
+	w.fault(0, f)
+	w.await("executions", func() bool { return w.ups[0].Runs().Executing == 2 })
 	f.FreezeMs = 2500
 	w.fault(0, f)
 	w.await("shards of the frozen upstream moved", func() bool {
@@ -72,7 +74,7 @@
 	// The first callers may all wait for the frozen upstream.
 	l := &load{cluster: w.cluster, next: patient, log: &w.log}
 	l.begin(8)
-	l.pass(200)
+	l.pass(300)
 	w.load.pass(50) // not before the freeze has ended
 	l.end()
 }
