--- a/internal/node/config_walk_test.go
+++ b/internal/node/config_walk_test.go
@@ -345,13 +345,16 @@
 type blind struct{ table.Store }
 
 func (b blind) Commit(c context.Context, t table.Txn) error {
-	for i := range t.Puts {
-		if strings.HasPrefix(string(t.Puts[i].Key), "config/") {
-			r, err := b.Read(c, t.Puts[i].Key)
+	if k := t.Puts[0].Key; strings.HasPrefix(string(k), "config/") {
+		for {
+			r, err := b.Read(c, k)
 			if err != nil {
 				return err
 			}
-			t.Puts[i].Version, t.Puts[i].Txns = r[0].Version, r[0].Txns
+			t.Puts[0].Version, t.Puts[0].Txns = r[0].Version, r[0].Txns
+			if err := b.Store.Commit(c, t); !errors.Is(err, table.ErrConflict) {
+				return err
+			}
 		}
 	}
 	return b.Store.Commit(c, t)
@@ -377,7 +380,7 @@
 		"hasty": func(s table.Store) table.Store { return hasty{s} },
 	} {
 		w := newConfigWalk(t, f)
-		w.fake.SetDelay(5 * time.Millisecond) // so that the submits of a race overlap
+		w.fake.SetDelay(50 * time.Millisecond) // so that the submits of a race overlap
 		for range 3 {
 			w.submit(w.running())
 			w.fake.FailNext(table.LoseAnswer)
@@ -398,6 +401,11 @@
 	w := newConfigWalk(t, func(s table.Store) table.Store { return s })
 	old := w.fake.Clone()
 	w.submit(w.running())
+	w.await("version observed", func() bool {
+		w.log.mu.Lock()
+		defer w.log.mu.Unlock()
+		return w.floor[0] >= w.current()
+	})
 	for _, m := range w.running() {
 		w.kill(m)
 	}
