--- a/cmd/bench/figure.go
+++ b/cmd/bench/figure.go
@@ -50,6 +50,7 @@
 	"imbalance-zipf":          {1.25, false},
 	"churn-leave-ratio":       {1.1, false},
 	"churn-join-ratio":        {1.1, false},
+	"churn-restart-share":     {0, false},
 }
 
 // printer prints the figures that were asked for.
