--- a/cmd/bench/figure.go
+++ b/cmd/bench/figure.go
@@ -50,6 +50,7 @@
 	"imbalance-zipf":          {1.25, false},
 	"churn-leave-ratio":       {1.1, false},
 	"churn-join-ratio":        {1.1, false},
+	"churn-restart-share":     {0, false},
 }
 
 // printer prints the figures that were asked for.
@@ -102,7 +103,7 @@
 	}},
 	{"gaps", []string{
 		"gap-upstream-p99-ms", "gap-home-p99-ms", "gap-both-p99-ms", "gap-domain-p99-ms",
-		"orders-lost", "orders-run-twice", "wrong-answers", "false-not-run",
+		"churn-restart-share", "orders-lost", "orders-run-twice", "wrong-answers", "false-not-run",
 	}},
 	{"idle", []string{
 		"config-converge-p99-ms", "idle-cpu-percent", "idle-memory-mb", "control-bytes-per-s",
