home: send waiting requests away when their upstream is evacuated

Cause: a request in the queue of a home got a slot or reached its deadline, nothing else. When an upstream freezes, the requests that it executes hold its slots until their deadlines, and all that wait behind them wait as long, although their shards have moved after 0.6 s. Change: queue.Gate gets Clear, which a home calls after the commit of an evacuation; the entry sends the requests to the new owners. Conclusion: the two that were executing still end late, as they must: they may have run. TestQueueOfFrozenUpstream guards it.

--- a/internal/home/move.go
+++ b/internal/home/move.go
@@ -261,9 +261,15 @@
 			n++
 		}
 	}
+	evacuated := n > 0 && (h.leaving != 0 || h.silent(h.c.Now()) > h.c.Lease.TTL)
 	h.mu.Unlock()
 	h.holdSplits(m)
 	h.c.Announce(rows)
+	if evacuated {
+		// The requests that wait need not wait for the slots of an upstream that
+		// may be frozen: the entry sends them to the new owners.
+		h.gate.Clear()
+	}
 	h.Sync()
 	h.c.Events.Record("move-committed", string(h.c.Key), event.Int("shards", n), event.String("transaction", string(t.ID)))
 }
--- a/internal/node/own_test.go
+++ b/internal/node/own_test.go
@@ -125,6 +125,30 @@
 	t.Log(err)
 }
 
+// Guards against requests that wait in the queue of a frozen upstream until its
+// two slots are free, although their shards have moved long before.
+func TestQueueOfFrozenUpstream(t *testing.T) {
+	t.Parallel()
+	w := newOrderWalk(t, patient, 16)
+	w.fault(0, stand.UpstreamFaults{SlowMs: 100})
+	w.await("executions", func() bool { return w.ups[0].Runs().Executing == 2 })
+	w.fault(0, stand.UpstreamFaults{FreezeMs: 3500})
+	w.await("shards of the frozen upstream moved", func() bool { return w.shards(w.ups[0].Name()) == 0 })
+	w.load.pass(200)
+	err, late := w.finish(), 0
+	if err != nil {
+		t.Error(err)
+	}
+	for _, d := range w.load.took {
+		if d > 2500*time.Millisecond {
+			late++
+		}
+	}
+	if late > 2 {
+		t.Errorf("%d requests were late, 2 were executing when the upstream froze", late)
+	}
+}
+
 // Guards invariants 1 and 5 while the planner splits and moves the shards of hot
 // keys of a Zipf distribution: an order that is lost or runs twice, a key that two upstreams execute
 // at the same time, and a planner that gives no hot key a shard of its own.
--- a/queue/control.go
+++ b/queue/control.go
@@ -32,11 +32,7 @@
 func (g *Gate[K]) Close() error {
 	g.mu.Lock()
 	g.closed = true
-	for g.queued > 0 {
-		q := g.active.accounts[0].head
-		g.remove(q)
-		q.ready <- ErrClosed
-	}
+	g.clear()
 	if g.flying == 0 {
 		g.mu.Unlock()
 		return nil
@@ -50,6 +46,22 @@
 	return nil
 }
 
+// Clear sends the waiting requests away with ErrClosed. The gate stays open.
+func (g *Gate[K]) Clear() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.clear()
+}
+
+// clear implements Clear. The caller holds mu.
+func (g *Gate[K]) clear() {
+	for g.queued > 0 {
+		q := g.active.accounts[0].head
+		g.remove(q)
+		q.ready <- ErrClosed
+	}
+}
+
 // active implements heap.Interface.
 type active[K comparable] struct {
 	gate     *Gate[K]
