capacity: follow the signature of NewGrantClient

The client takes a dialer since tests inject one; without the argument the package does not compile. Adds the series for the choice of planners.

--- a/internal/capacity/control.go
+++ b/internal/capacity/control.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -187,6 +188,10 @@
 		l := build(n).Live()
 		return cost(func() { peer.Successor("home/guild/quotes/a", peer.Place{Region: "launceston"}, l) })
 	})
+	series("choice of the planner of one service, µs", 1000, xs, func(n int) float64 {
+		l := build(n).Live()
+		return cost(func() { peer.First("guild/quotes", l) })
+	})
 	series("memory of the detector, bytes", 1, xs, func(n int) float64 { return held(func() any { return build(n) }) })
 }
 
@@ -277,6 +282,7 @@
 		p := page(n)
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 			_, _ = io.Copy(io.Discard, q.Body)
+			w.Header().Set("Content-Length", strconv.Itoa(len(p)))
 			_, _ = w.Write(p)
 		}))
 		defer s.Close()
--- a/internal/capacity/home.go
+++ b/internal/capacity/home.go
@@ -81,7 +81,7 @@
 			_, _ = w.Write(r.reply)
 		}))
 		defer s.Close()
-		g := home.NewGrantClient(s.Listener.Addr().String())
+		g := home.NewGrantClient(s.Listener.Addr().String(), nil)
 		defer func() { _ = g.Close() }()
 		return cost(func() {
 			m, _ := r.home.Grant(10)
