capacity: measure renewals that refer to the set in force

A renewal no longer lists the shards, so that the slope of the whole message says nothing about the steady state.

--- a/internal/capacity/home.go
+++ b/internal/capacity/home.go
@@ -30,6 +30,8 @@
 	home           *lease.Home
 	guard          *fence.Guard
 	request, reply []byte
+	// whole is the request that lists all shards; later ones refer to it.
+	whole []byte
 }
 
 func newRenewal(n int) *renewal {
@@ -45,6 +47,10 @@
 	r.learn()
 	r.home.Confirm(11)
 	r.ask()
+	r.whole = r.request
+	r.answer()
+	r.learn()
+	r.ask()
 	r.answer()
 	return r
 }
@@ -68,12 +74,11 @@
 
 func grants() {
 	xs := []int{16, 82, 256, 1024}
-	series("grant at the home without HTTP, against shards, µs", 1000, xs, func(n int) float64 {
+	series("renewal at the home without HTTP, against shards, µs", 1000, xs, func(n int) float64 {
 		r := newRenewal(n)
 		return cost(func() { r.learn(); r.ask() })
 	})
-	series("grant at the upstream without HTTP, µs", 1000, xs, func(n int) float64 { return cost(newRenewal(n).answer) })
-	series("grant over HTTP, both sides, µs", 1000, xs, func(n int) float64 {
+	series("renewal over HTTP, both sides, µs", 1000, xs, func(n int) float64 {
 		r := newRenewal(n)
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 			r.request = must(io.ReadAll(q.Body))
@@ -88,8 +93,9 @@
 			must(0, r.home.Answer(9, 10, must(g.Grant(context.Background(), m))))
 		})
 	})
-	series("grant request, bytes of the body", 1, xs, func(n int) float64 { return float64(len(newRenewal(n).request)) })
-	series("grant reply, bytes of the body", 1, xs, func(n int) float64 { return float64(len(newRenewal(n).reply)) })
+	series("grant that lists all shards, bytes of the body", 1, xs, func(n int) float64 { return float64(len(newRenewal(n).whole)) })
+	series("renewal, bytes of the body", 1, xs, func(n int) float64 { return float64(len(newRenewal(n).request)) })
+	series("reply to a renewal, bytes of the body", 1, xs, func(n int) float64 { return float64(len(newRenewal(n).reply)) })
 	series("memory of a lease, bytes", 1, xs, func(n int) float64 {
 		return held(func() any { return newRenewal(n).home })
 	})
