Keep connections to the table open during long answers, back off confirmations

Cause: the SDK closes the body of a request when the answer begins. A transport that had not yet read that body to its end took this for a failed write and closed the connection in the middle of the answer. And every home repeated a failed read of its row every 50 ms for as long as the table was down. Change: requests carry a copy of their body; the pause after a failed confirmation doubles up to 5 s and varies by a half. TestOwnBody fails without the copy. The back-off was not measured.

--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -233,19 +234,29 @@
 	}
 }
 
-// confirmPause separates two reads of the home row that were asked for, so that
-// a failing store is not flooded.
-const confirmPause = 50 * time.Millisecond
-
-// confirmations is the number of reads of the home row within one hold time, so
-// that some may fail.
-const confirmations = 4
+const (
+	// confirmations is the number of reads of the home row within one hold time,
+	// so that some may fail.
+	confirmations = 4
+	// confirmPause and maxConfirmPause bound the pause after a failed read of the
+	// home row. It doubles with each failure and varies by a half, so that the
+	// homes don't read together when the store comes back.
+	confirmPause    = 50 * time.Millisecond
+	maxConfirmPause = 5 * time.Second
+)
 
 func (h *Home) confirmLoop() {
+	p := confirmPause
 	for h.wait(h.confirmNow, h.c.Lease.Hold/confirmations) {
-		if h.needsConfirm() && !h.confirm() && h.wait(nil, confirmPause) {
-			signal(h.confirmNow)
+		if !h.needsConfirm() || h.confirm() {
+			p = confirmPause
+			continue
 		}
+		if !h.wait(nil, p/2+rand.N(p)) {
+			return
+		}
+		p = min(2*p, maxConfirmPause, h.c.Lease.Hold/confirmations)
+		signal(h.confirmNow)
 	}
 }
 
--- a/table/dynamo.go
+++ b/table/dynamo.go
@@ -70,7 +70,7 @@
 		Region:       "local",
 		Credentials:  credentials.NewStaticCredentialsProvider("dandelionrock", "dandelionrock", ""),
 		HTTPClient: &http.Client{
-			Transport: t,
+			Transport: ownBody{t},
 			// A redirect would send a write a second time.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
--- a/table/dynamo_test.go
+++ b/table/dynamo_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -72,3 +73,46 @@
 		})
 	}
 }
+
+// closable is a request body that fails once it is closed.
+type closable struct {
+	*strings.Reader
+	closed bool
+}
+
+func (c *closable) Read(b []byte) (int, error) {
+	if c.closed {
+		return 0, errors.New("body is closed")
+	}
+	return c.Reader.Read(b)
+}
+
+func (c *closable) Close() error {
+	c.closed = true
+	return nil
+}
+
+// Guards against a connection that is closed in the middle of an answer, because
+// the SDK closed the request's body while the transport was still reading it.
+func TestOwnBody(t *testing.T) {
+	c := &closable{Reader: strings.NewReader("query")}
+	q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://127.0.0.1", c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := tripper(func(r *http.Request) (*http.Response, error) {
+		_ = c.Close()
+		b, err := io.ReadAll(r.Body)
+		if string(b) != "query" || err != nil || r.ContentLength != 5 || r.GetBody != nil {
+			t.Errorf("body %q, %v, length %d", b, err, r.ContentLength)
+		}
+		return nil, nil
+	})
+	if _, err := (ownBody{next}).RoundTrip(q); err != nil {
+		t.Error(err)
+	}
+}
+
+type tripper func(r *http.Request) (*http.Response, error)
+
+func (f tripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
