node: start test instances again when a port was taken

Cause: two runs of the tests at the same time took each other's ports between the choice and the use of a port; an instance then never became ready. Change: start waits until the instance itself answers, and tries other ports if it has ended. Conclusion: test only.

--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -171,7 +172,7 @@
 
 func (c *cluster) address() string {
 	for range 1000 {
-		a := fmt.Sprintf("127.0.0.1:%d", 26000+nextPort.Add(1)%1000)
+		a := fmt.Sprintf("127.0.0.1:%d", 26000+(nextPort.Add(1)+uint32(os.Getpid())*67)%1000)
 		if l, err := net.Listen("tcp", a); err == nil {
 			_ = l.Close()
 			return a
@@ -202,6 +203,10 @@
 	x, f := context.WithCancel(context.Background())
 	m.stop = f
 	go func() { m.done <- m.node.Run(x) }()
+	if !c.listens(m) {
+		f()
+		return c.start(index)
+	}
 	c.mu.Lock()
 	c.members[index] = m
 	c.mu.Unlock()
@@ -209,6 +214,23 @@
 	return m
 }
 
+// listens waits until a member answers, or returns false if another process has
+// taken one of its addresses meanwhile.
+func (c *cluster) listens(m *member) bool {
+	failed := false
+	c.await("instance answers", func() bool {
+		select {
+		case <-m.done:
+			failed = true
+			return true
+		default:
+		}
+		s, err := c.operator(m).Status(context.Background())
+		return err == nil && s.Incarnation == m.node.self.Incarnation
+	})
+	return !failed
+}
+
 // list publishes the members that run.
 func (c *cluster) list() {
 	var l []stand.Instance
