relay: close a link only after its client is set

Cause: net/rpc starts to read before NewClientWithCodec returns. On a connection that breaks at once the codec closed the link while its client was being set: a data race, and a nil pointer if the close came first. Change: close waits until the client is set. Conclusion: the test needs the race detector to guard it.

--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -24,7 +24,9 @@
 
 // link is one client connection.
 type link struct {
+	// client is set once ready is closed. The codec may close the link before.
 	client *rpc.Client
+	ready  chan struct{}
 	codec  *clientCodec
 	// live counts the calls in progress whose callers wait.
 	live      atomic.Int64
@@ -35,9 +37,10 @@
 }
 
 func newLink(c net.Conn, o Options) *link {
-	l := &link{codec: newClientCodec(c, o)}
+	l := &link{codec: newClientCodec(c, o), ready: make(chan struct{})}
 	l.codec.leave, l.codec.lost = l.retire, l.close
 	l.client = rpc.NewClientWithCodec(l.codec)
+	close(l.ready)
 	return l
 }
 
@@ -70,7 +73,12 @@
 // close ends the connection; calls in progress fail.
 func (l *link) close() {
 	l.retired.Store(true)
-	l.once.Do(func() { go l.client.Close() })
+	l.once.Do(func() {
+		go func() {
+			<-l.ready
+			_ = l.client.Close()
+		}()
+	})
 }
 
 var calls = sync.Pool{New: func() any { return &call{done: make(chan *rpc.Call, 1)} }}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -261,3 +261,15 @@
 		})
 	}
 }
+
+// Guards against a client that is closed before it is set, which happens when a
+// connection breaks as soon as it is open.
+func TestBrokenAtOnce(*testing.T) {
+	for range 2000 {
+		a, b := net.Pipe()
+		_ = b.Close()
+		l := newLink(a, Options{}.withDefaults())
+		l.close()
+		<-l.codec.out.done
+	}
+}
