Take requests for a while after a leaving instance has become not ready

Cause: an instance closed its listener as soon as its homes were handed over. An instance that had read nothing yet answered 404 unknown-organisation. Change: close-delay, 2 s by default, keeps the listener open; until the first read of the table or a peer, requests are refused with 503 and not-run. TestRollingRestart now lets callers use an instance until some time after it has become not ready, where before it took it off their list first.

--- a/config/settings.go
+++ b/config/settings.go
@@ -26,6 +26,9 @@
 	LogLevel string
 	// DrainTimeout bounds the wait for requests in flight at shutdown.
 	DrainTimeout time.Duration
+	// CloseDelay is the time for which a leaving instance still takes new
+	// requests after it has become not ready.
+	CloseDelay time.Duration
 	// Delays are added to calls to other instances, for experiments only. The
 	// keys have the form "region/failure-domain".
 	Delays map[string]time.Duration
@@ -52,6 +55,7 @@
 	polls        = span[time.Duration]{time.Second, 10 * time.Millisecond, time.Minute}
 	callTimeouts = span[time.Duration]{time.Second, 10 * time.Millisecond, time.Minute}
 	drains       = span[time.Duration]{10 * time.Second, 0, time.Hour}
+	closeDelays  = span[time.Duration]{2 * time.Second, 0, 5 * time.Minute}
 	delays       = span[time.Duration]{0, 0, 10 * time.Second}
 )
 
@@ -81,6 +85,7 @@
 		HTTPAddress:   c.address("", "http-address", m.GetHttpAddress()),
 		RPCAddress:    c.address("", "rpc-address", m.GetRpcAddress()),
 		DrainTimeout:  c.duration("", "drain-timeout", m.GetDrainTimeout(), drains),
+		CloseDelay:    c.duration("", "close-delay", m.GetCloseDelay(), closeDelays),
 		Platform:      c.platform(m.GetPlatform()),
 		Operators:     c.operators(m.GetOperators()),
 		LogLevel:      "info",
--- a/internal/node/caller_test.go
+++ b/internal/node/caller_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"net/http/httptrace"
 	"slices"
 	"strconv"
 	"strings"
@@ -50,35 +49,19 @@
 	err              error
 }
 
-// pick chooses a listed member that has been ready, which counts the caller until sent is called.
+// pick chooses a listed member that has been ready.
 func (c *cluster) pick(r *rand.Rand) *member {
-	l := c.those(func(m *member) bool {
-		ok := m.listed && m.node.polled.Load()
-		if ok {
-			m.picked.Add(1)
-		}
-		return ok
-	})
+	l := c.those(func(m *member) bool { return m.listed && m.node.polled.Load() })
 	if len(l) == 0 {
 		return nil
 	}
-	k := r.IntN(len(l))
-	for i, m := range l {
-		if i != k {
-			m.picked.Add(-1)
-		}
-	}
-	return l[k]
+	return l[r.IntN(len(l))]
 }
 
-// send sends a request through a picked member.
+// send sends a request through a member.
 func (c *cluster) send(x context.Context, m *member, q request) outcome {
-	var once sync.Once
-	release := func() { once.Do(func() { m.picked.Add(-1) }) }
-	defer release()
 	x, f := context.WithTimeout(x, q.timeout+2*slack)
 	defer f()
-	x = httptrace.WithClientTrace(x, &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) { release() }})
 	r, err := http.NewRequestWithContext(x, http.MethodPost, "http://"+m.node.s.HTTPAddress+"/"+organisation+"/"+q.service+"/x", q.body)
 	if err != nil {
 		return outcome{kind: broken, via: m, err: err}
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -31,6 +31,7 @@
 	operatorWord = "operator"
 	// drainTimeout exceeds the longest request.
 	drainTimeout = 8 * time.Second
+	closeDelay   = time.Second
 )
 
 // TestMain silences the log of the transport library, and looks for goroutines
@@ -80,8 +81,6 @@
 	up, listed bool
 	// killed is set before the member is stopped abruptly.
 	killed atomic.Bool
-	// picked counts callers that have chosen it and have not sent yet.
-	picked atomic.Int64
 }
 
 // name is that of the member on the network.
@@ -188,7 +187,7 @@
 	m := &member{index: index, run: old.run + 1, id: old.id, domain: old.domain, done: make(chan error, 1), up: true, listed: true}
 	s := &config.Settings{
 		InstanceID: m.id, Region: "hobart", FailureDomain: m.domain, HTTPAddress: c.address(), RPCAddress: c.address(),
-		HeartbeatInterval: 100 * time.Millisecond, SuspectAfter: 400 * time.Millisecond, DrainTimeout: drainTimeout,
+		HeartbeatInterval: 100 * time.Millisecond, SuspectAfter: 400 * time.Millisecond, DrainTimeout: drainTimeout, CloseDelay: closeDelay,
 		Platform: config.Platform{
 			InstancesURL: c.platform.URL() + "/instances", PollInterval: time.Second, CallTimeout: time.Second,
 		},
@@ -254,13 +253,15 @@
 	c.list()
 }
 
-// leave stops a member gracefully once it is no longer listed.
+// leave stops a member gracefully. Callers use it until some time after it has
+// become not ready, as behind a load balancer.
 func (c *cluster) leave(m *member) error {
+	m.stop()
+	c.await("not ready", func() bool { return !m.node.ready() })
+	time.Sleep(closeDelay / 5)
 	c.mu.Lock()
 	m.listed = false
 	c.mu.Unlock()
-	c.await("callers have sent", func() bool { return m.picked.Load() == 0 })
-	m.stop()
 	err := <-m.done
 	c.mu.Lock()
 	m.up = false
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	kratos "github.com/go-kratos/kratos/v2"
@@ -14,6 +15,7 @@
 	"dandelionrock.example/dandelionrock/event"
 	"dandelionrock.example/dandelionrock/internal/admin"
 	"dandelionrock.example/dandelionrock/internal/edge"
+	"dandelionrock.example/dandelionrock/internal/header"
 )
 
 // Run serves until c ends, then leaves: it becomes not ready, hands its homes
@@ -89,35 +91,38 @@
 }
 
 // shutDown leaves, and ends the HTTP server before the RPC server, because the
-// requests of the former may need the latter.
+// requests of the former may need the latter. New requests are taken until the
+// close delay has passed, because a load balancer sees late that the instance
+// isn't ready.
 func (n *Node) shutDown(a *kratos.App, failed <-chan error) error {
-	c, f := context.WithTimeout(context.Background(), n.s.DrainTimeout)
+	open := time.After(n.s.CloseDelay)
+	c, f := context.WithTimeout(context.Background(), n.s.CloseDelay+n.s.DrainTimeout)
 	defer f()
 	n.leave(c)
-	err := a.Stop()
-	if e := <-failed; err == nil {
-		err = e
+	<-open
+	steps := []func() error{
+		a.Stop, func() error { return <-failed }, n.edge.Close, n.entry.Close, n.rpc.Close, n.end, n.pool.Close,
 	}
-	for _, x := range []func() error{n.edge.Close, n.entry.Close} {
+	var err error
+	for _, x := range steps {
 		if e := x(); err == nil {
 			err = e
 		}
 	}
-	if e := n.rpc.Close(); err == nil {
-		err = e
-	}
+	return err
+}
+
+// end stops the goroutines of the instance.
+func (n *Node) end() error {
 	n.events.Record("instance-stopped", n.self.ID)
 	n.stop()
 	n.work.Wait()
-	if e := n.pool.Close(); err == nil {
-		err = e
-	}
-	return err
+	return nil
 }
 
 // httpServer returns the server for callers and operators.
 func (n *Node) httpServer(l net.Listener) *khttp.Server {
-	s := edge.NewServer(l, n.newEdge())
+	s := edge.NewServer(l, n.whenPolled(n.newEdge()))
 	s.HandlePrefix("/operate/", admin.New(admin.Handler{
 		Operators: n.s.Operators, Submitter: n, Reporter: n, Timeline: n.events,
 	}))
@@ -126,6 +131,22 @@
 	return s
 }
 
+// whenPolled refuses requests while the instance has read neither the table nor
+// a peer: it doesn't know any organisation yet.
+func (n *Node) whenPolled(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.polled.Load() {
+			next.ServeHTTP(w, r)
+			return
+		}
+		h := w.Header()
+		h.Set(header.Outcome, header.NotRun)
+		h.Set(header.Reason, "not-ready")
+		h.Set(header.Entry, n.self.ID)
+		http.Error(w, "instance is not ready", http.StatusServiceUnavailable)
+	})
+}
+
 // metricsServer returns the server for the metrics page.
 func (n *Node) metricsServer() *khttp.Server {
 	s := khttp.NewServer(khttp.Address(n.s.MetricsAddress))
--- a/internal/node/traffic_test.go
+++ b/internal/node/traffic_test.go
@@ -64,7 +64,7 @@
 
 // Guards invariant 7: a request that is cut, refused or lost while every
 // instance in turn is shut down gracefully and started again. Callers use an
-// instance until it is no longer listed, just before its shutdown.
+// instance for a fifth of the close delay after it has become not ready.
 func TestRollingRestart(t *testing.T) {
 	t.Parallel()
 	u := stand.UpstreamConfig{ServiceTime: stand.Duration(20 * time.Millisecond)}
