Take a home back at once when its handover fails

A home that has ended its term and whose handover fails is taken back by its own instance, which then waited for its own hold time, 1 s there, if the upstream did not adopt the new term. Change: the instance remembers which terms it has ended and does not wait for them.

--- a/internal/node/keep.go
+++ b/internal/node/keep.go
@@ -130,6 +130,10 @@
 		c, f := context.WithTimeout(n.life, retireTimeout)
 		defer f()
 		err := h.Retire(c)
+		if err == nil {
+			// If the handover fails, this instance takes the home back at once.
+			n.takes.stop(k, h.Version())
+		}
 		n.setHome(k, nil)
 		if e := h.Close(); err == nil {
 			err = e
--- a/internal/node/take.go
+++ b/internal/node/take.go
@@ -53,11 +53,15 @@
 	running map[table.Key]bool
 	// wanted is since when a home row is without a living holder.
 	wanted map[table.Key]clock.Time
-	signal chan struct{}
+	// stopped holds the versions of home rows whose term this run of the
+	// instance has ended for good, so that a successor need not wait.
+	stopped map[table.Key]table.Version
+	signal  chan struct{}
 }
 
 func (t *takes) init() {
 	t.running, t.wanted = make(map[table.Key]bool), make(map[table.Key]clock.Time)
+	t.stopped = make(map[table.Key]table.Version)
 	t.signal = make(chan struct{}, 1)
 }
 
@@ -69,6 +73,20 @@
 	}
 }
 
+// stop records that the term of a home row's version has ended for good.
+func (t *takes) stop(k table.Key, v table.Version) {
+	t.mu.Lock()
+	t.stopped[k] = v
+	t.mu.Unlock()
+}
+
+// hasStopped reports whether the term of a home row's version has ended here.
+func (t *takes) hasStopped(k table.Key, v table.Version) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return v != 0 && t.stopped[k] == v
+}
+
 // due reports whether a home has been wanted for long enough for the successor
 // of the given rank.
 func (t *takes) due(k table.Key, rank int) bool {
@@ -240,6 +258,7 @@
 			n.takes.putOff(x.key, probePause)
 			return
 		}
+		x.stopped = n.takes.hasStopped(x.key, x.holder.Version)
 		n.take(x)
 	})
 }
