Give no slot to a request that would not end before its deadline

Cause: under a flood, 3232 of 47905 requests of the flooding account ended as unknown: they got a slot shortly before their deadline and were executed for nothing. Up to two more requests for two slots at the upstream made the others wait longer. Change: a waiter gets a slot only if the average execution ends before its deadline; at most one more request for two slots waits at the upstream.

--- a/internal/home/depth.go
+++ b/internal/home/depth.go
@@ -20,14 +20,14 @@
 
 // depth adapts the number of requests in flight at the upstream. With as many
 // as there are slots, a slot is idle while an answer and the next request are
-// on their way. Up to one more for each slot hides that, as long as the
+// on their way. Up to one more for two slots hides that, as long as the
 // upstream has a place for them to wait; it sheds them if it has not.
 type depth struct {
 	gate  *queue.Gate[string]
 	slots int
 
 	mu sync.Mutex
-	// extra is between 0 and slots.
+	// extra is between 0 and half of the slots, rounded up.
 	extra int
 	// answered counts the answers since extra changed.
 	answered int
@@ -46,7 +46,7 @@
 		d.gate.SetSlots(d.slots)
 		return
 	}
-	if d.answered++; d.answered < deepenAfter || d.extra == d.slots {
+	if d.answered++; d.answered < deepenAfter || d.extra >= (d.slots+1)/2 {
 		return
 	}
 	d.answered = 0
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -287,7 +287,11 @@
 	}
 }
 
-// dispatch gives free slots to waiters.
+// execution returns the time that a request reserves for its own execution.
+func (g *Gate[K]) execution() time.Duration { return time.Duration(g.service * g.options.Margin) }
+
+// dispatch gives free slots to waiters. A waiter that would not end before its
+// deadline gets none: it would use the slot for an answer that comes too late.
 func (g *Gate[K]) dispatch() {
 	var now time.Time
 	for g.flying < g.slots && g.queued > 0 {
@@ -296,7 +300,7 @@
 		if now.IsZero() {
 			now = time.Now()
 		}
-		if !q.deadline.IsZero() && !now.Before(q.deadline) {
+		if !q.deadline.IsZero() && now.Add(g.execution()).After(q.deadline) {
 			g.remove(q)
 			q.ready <- ErrDeadline
 			continue
