Poll versions instead of rows; make the clock package public

Cause: the reader of the table received all rows every second, 44 kB/s of the traffic of an idle instance. The types of package internal/clock stand in the interfaces of fence, lease and peer, so that nobody outside of this module could call them. Change: Store.Versions reads keys and versions alone; rows that are newer than those held are read by key. internal/clock becomes clock. Metrics for readiness, versions in force, states of homes, handovers and failed takeovers.

--- a/fence/example_test.go
+++ b/fence/example_test.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"time"
 
+	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/fence"
-	"dandelionrock.example/dandelionrock/internal/clock"
 	"dandelionrock.example/dandelionrock/schema"
 )
 
--- a/fence/fence.go
+++ b/fence/fence.go
@@ -15,7 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"dandelionrock.example/dandelionrock/internal/clock"
+	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/schema"
 	"dandelionrock.example/dandelionrock/shard"
 )
--- a/internal/capacity/home.go
+++ b/internal/capacity/home.go
@@ -12,10 +12,10 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/config"
 	"dandelionrock.example/dandelionrock/event"
 	"dandelionrock.example/dandelionrock/fence"
-	"dandelionrock.example/dandelionrock/internal/clock"
 	"dandelionrock.example/dandelionrock/internal/home"
 	"dandelionrock.example/dandelionrock/lease"
 	"dandelionrock.example/dandelionrock/order"
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -13,10 +13,10 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/config"
 	"dandelionrock.example/dandelionrock/event"
 	"dandelionrock.example/dandelionrock/fence"
-	"dandelionrock.example/dandelionrock/internal/clock"
 	"dandelionrock.example/dandelionrock/lease"
 	"dandelionrock.example/dandelionrock/order"
 	"dandelionrock.example/dandelionrock/queue"
--- a/internal/home/move.go
+++ b/internal/home/move.go
@@ -7,8 +7,8 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/event"
-	"dandelionrock.example/dandelionrock/internal/clock"
 	"dandelionrock.example/dandelionrock/route"
 	"dandelionrock.example/dandelionrock/schema"
 	"dandelionrock.example/dandelionrock/shard"
--- a/internal/node/keep.go
+++ b/internal/node/keep.go
@@ -141,6 +141,7 @@
 		n.takes.end(k)
 		if err == nil {
 			err = n.callHandover(c, instance, k, h.Version())
+			n.scope.Counter("homes_handed_over").Inc(1)
 		}
 		n.events.Record("home-handed-over", string(k), event.String("successor", instance),
 			event.String("why", why), event.Err(err))
--- a/internal/node/meter.go
+++ b/internal/node/meter.go
@@ -87,4 +87,34 @@
 	} {
 		n.scope.Gauge(name).Update(float64(v))
 	}
+	ready := 0.0
+	if n.ready() {
+		ready = 1
+	}
+	n.scope.Gauge("ready").Update(ready)
+	for o, v := range n.dir.ConfigVersions() {
+		n.scope.Tagged(map[string]string{"organisation": o}).Gauge("config_version").Update(float64(v))
+	}
+	for state, v := range n.homeStates() {
+		n.scope.Tagged(map[string]string{"state": state}).Gauge("homes_by_state").Update(float64(v))
+	}
+}
+
+// states lists the states of homes, so that the gauge of a state that no home
+// is in any more falls to 0.
+var states = []string{
+	"superseded", "retired", "draining", "waiting-for-predecessor", "unreachable", "unconfirmed", "granting", "serving",
+}
+
+// homeStates returns the number of homes in each state.
+func (n *Node) homeStates() map[string]int {
+	m := make(map[string]int, len(states))
+	for _, s := range states {
+		m[s] = 0
+	}
+	for _, h := range *n.homes.Load() {
+		l, _, _ := h.State()
+		m[homeState(l)]++
+	}
+	return m
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,9 +15,9 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/config"
 	"dandelionrock.example/dandelionrock/event"
-	"dandelionrock.example/dandelionrock/internal/clock"
 	"dandelionrock.example/dandelionrock/internal/edge"
 	"dandelionrock.example/dandelionrock/internal/home"
 	"dandelionrock.example/dandelionrock/internal/relay"
--- a/internal/node/spread.go
+++ b/internal/node/spread.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -63,23 +64,44 @@
 	return d
 }
 
-// poll reads all rows. The read also confirms the terms of the homes that run
-// here.
+// poll reads the versions of all rows, and the rows that are newer than those
+// held. The read also confirms the terms of the homes that run here.
 func (n *Node) poll() error {
 	sent := now()
-	rows, err := n.store.Scan(n.life, "")
+	m, err := n.store.Versions(n.life, "")
+	if err == nil {
+		n.scope.Counter("store_scans").Inc(1)
+		for k, v := range m {
+			if h := n.home(k); h != nil {
+				h.Confirmed(sent, table.Row{Key: k, Version: v})
+			}
+		}
+		err = n.fetch(m)
+	}
 	if err != nil {
 		n.scope.Counter("store_failures").Inc(1)
 		return err
 	}
-	n.scope.Counter("store_scans").Inc(1)
-	n.apply(rows)
-	for _, r := range rows {
-		if h := n.home(r.Key); h != nil {
-			h.Confirmed(sent, r)
+	n.polled.Store(true)
+	return nil
+}
+
+// fetch reads the rows whose version is higher than that of the row held.
+func (n *Node) fetch(m map[table.Key]table.Version) error {
+	var l []table.Key
+	for k, v := range m {
+		if r, _ := n.dir.Row(k); v > r.Version {
+			l = append(l, k)
 		}
 	}
-	n.polled.Store(true)
+	n.scope.Counter("store_rows_read").Inc(int64(len(l)))
+	for k := range slices.Chunk(l, table.MaxItems) {
+		rows, err := n.store.Read(n.life, k...)
+		if err != nil {
+			return err
+		}
+		n.apply(rows)
+	}
 	return nil
 }
 
--- a/internal/node/take.go
+++ b/internal/node/take.go
@@ -8,10 +8,10 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/config"
 	"dandelionrock.example/dandelionrock/event"
 	"dandelionrock.example/dandelionrock/fence"
-	"dandelionrock.example/dandelionrock/internal/clock"
 	"dandelionrock.example/dandelionrock/internal/home"
 	"dandelionrock.example/dandelionrock/lease"
 	"dandelionrock.example/dandelionrock/peer"
@@ -362,6 +362,7 @@
 // another instance was first.
 func (n *Node) takeFailed(c context.Context, x candidate, err error) {
 	n.events.Record("takeover-failed", string(x.key), event.Err(err))
+	n.scope.Counter("takeovers_failed").Inc(1)
 	n.takes.putOff(x.key, takePause)
 	if !errors.Is(err, table.ErrConflict) {
 		return
--- a/internal/stand/dynamo.go
+++ b/internal/stand/dynamo.go
@@ -84,6 +84,7 @@
 type queryInput struct {
 	TableName                 string
 	KeyConditionExpression    string
+	ProjectionExpression      string
 	ExpressionAttributeValues item
 	ExclusiveStartKey         item
 	Limit                     int
@@ -106,14 +107,33 @@
 	v := q.ExpressionAttributeValues
 	l, more := p.items.query(v.text(":s"), v.text(":p"), q.ExclusiveStartKey.text("row-key"), n)
 	p.stats.count(max(1, len(l)), 0)
+	l, err := project(l, q.ProjectionExpression)
+	if err != nil {
+		return nil, err
+	}
 	o := map[string]any{"Items": l, "Count": len(l)}
 	if more {
-		m := l[len(l)-1]
-		o["LastEvaluatedKey"] = item{"space": m["space"], "row-key": m["row-key"]}
+		o["LastEvaluatedKey"] = item{"space": v[":s"], "row-key": l[len(l)-1]["row-key"]}
 	}
 	return o, nil
 }
 
+// project returns the attributes of items that an expression names.
+func project(l []item, expression string) ([]item, error) {
+	switch expression {
+	case "":
+		return l, nil
+	case "#k, #v":
+	default:
+		return nil, invalid("the stand-in does not know projection " + expression)
+	}
+	r := make([]item, 0, len(l))
+	for _, m := range l {
+		r = append(r, item{"row-key": m["row-key"], "version": m["version"]})
+	}
+	return r, nil
+}
+
 func (p *Platform) read(b []byte) (any, error) {
 	var i readInput
 	if err := decode(b, &i); err != nil {
--- a/internal/stand/execute.go
+++ b/internal/stand/execute.go
@@ -11,9 +11,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/config"
 	"dandelionrock.example/dandelionrock/fence"
-	"dandelionrock.example/dandelionrock/internal/clock"
 	"dandelionrock.example/dandelionrock/shard"
 )
 
--- a/internal/stand/platform_test.go
+++ b/internal/stand/platform_test.go
@@ -63,6 +63,9 @@
 		if l, err := d.Scan(c, x.prefix); err != nil || len(l) != x.want {
 			t.Errorf("Scan(%q): %d rows, %v, want %d", x.prefix, len(l), err, x.want)
 		}
+		if m, err := d.Versions(c, x.prefix); err != nil || len(m) != x.want || x.want > 0 && m["home/3"] != 1 {
+			t.Errorf("Versions(%q): %v, %v, want %d rows", x.prefix, m, err, x.want)
+		}
 	}
 	for i := range 10 {
 		x := put(t, d, "home/0")
--- a/lease/example_test.go
+++ b/lease/example_test.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"time"
 
+	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/config"
 	"dandelionrock.example/dandelionrock/fence"
-	"dandelionrock.example/dandelionrock/internal/clock"
 	"dandelionrock.example/dandelionrock/lease"
 )
 
--- a/lease/grant.go
+++ b/lease/grant.go
@@ -3,8 +3,8 @@
 import (
 	"slices"
 
+	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/fence"
-	"dandelionrock.example/dandelionrock/internal/clock"
 	"dandelionrock.example/dandelionrock/schema"
 	"dandelionrock.example/dandelionrock/shard"
 )
--- a/lease/instance_test.go
+++ b/lease/instance_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/fence"
-	"dandelionrock.example/dandelionrock/internal/clock"
 	"dandelionrock.example/dandelionrock/shard"
 )
 
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -14,9 +14,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/config"
 	"dandelionrock.example/dandelionrock/fence"
-	"dandelionrock.example/dandelionrock/internal/clock"
 	"dandelionrock.example/dandelionrock/schema"
 	"dandelionrock.example/dandelionrock/shard"
 )
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -11,9 +11,9 @@
 	"github.com/sebdah/goldie/v2"
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/config"
 	"dandelionrock.example/dandelionrock/fence"
-	"dandelionrock.example/dandelionrock/internal/clock"
 	"dandelionrock.example/dandelionrock/schema"
 	"dandelionrock.example/dandelionrock/shard"
 )
--- a/lease/shards.go
+++ b/lease/shards.go
@@ -1,7 +1,7 @@
 package lease
 
 import (
-	"dandelionrock.example/dandelionrock/internal/clock"
+	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/shard"
 )
 
--- a/lease/state.go
+++ b/lease/state.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/fence"
-	"dandelionrock.example/dandelionrock/internal/clock"
 )
 
 // State is a report on a Home for status pages.
--- a/lease/upstream_test.go
+++ b/lease/upstream_test.go
@@ -6,8 +6,8 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/fence"
-	"dandelionrock.example/dandelionrock/internal/clock"
 	"dandelionrock.example/dandelionrock/schema"
 	"dandelionrock.example/dandelionrock/shard"
 )
--- a/lease/walk_test.go
+++ b/lease/walk_test.go
@@ -12,8 +12,8 @@
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/commands"
 
+	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/config"
-	"dandelionrock.example/dandelionrock/internal/clock"
 	"dandelionrock.example/dandelionrock/shard"
 )
 
--- a/lease/world_test.go
+++ b/lease/world_test.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
+	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/config"
-	"dandelionrock.example/dandelionrock/internal/clock"
 	"dandelionrock.example/dandelionrock/shard"
 )
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -12,7 +12,7 @@
 import (
 	"time"
 
-	"dandelionrock.example/dandelionrock/internal/clock"
+	"dandelionrock.example/dandelionrock/clock"
 )
 
 // Time is a reading of a monotonic clock that counts suspension, in
--- a/shard/balancer.go
+++ b/shard/balancer.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"dandelionrock.example/dandelionrock/internal/clock"
+	"dandelionrock.example/dandelionrock/clock"
 )
 
 // Time is a reading of a monotonic clock, in nanoseconds since any fixed
--- a/table/dynamo.go
+++ b/table/dynamo.go
@@ -121,21 +121,49 @@
 // Scan implements Store with one Query call for each page.
 func (d *Dynamo) Scan(c context.Context, prefix Key) ([]Row, error) {
 	var r []Row
+	err := d.pages(c, d.query(prefix), func(m map[string]types.AttributeValue) error {
+		w, err := decodeRow(m)
+		r = append(r, w)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+// Versions implements Store with one Query call for each page, which leaves the
+// values out of the answer.
+func (d *Dynamo) Versions(c context.Context, prefix Key) (map[Key]Version, error) {
 	q := d.query(prefix)
+	q.ProjectionExpression = aws.String("#k, #v")
+	q.ExpressionAttributeNames["#k"], q.ExpressionAttributeNames["#v"] = attrKey, attrVersion
+	r := make(map[Key]Version)
+	err := d.pages(c, q, func(m map[string]types.AttributeValue) error {
+		k, v, err := decodeVersion(m)
+		r[k] = v
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+// pages calls f for each item that a query finds, until f returns an error.
+func (d *Dynamo) pages(c context.Context, q *dynamodb.QueryInput, f func(m map[string]types.AttributeValue) error) error {
 	for {
 		o, err := d.page(c, q)
 		if err != nil {
-			return nil, errors.Wrapf(ErrUnavailable, "scan: %v", err)
+			return errors.Wrapf(ErrUnavailable, "scan: %v", err)
 		}
 		for _, x := range o.Items {
-			w, err := decodeRow(x)
-			if err != nil {
-				return nil, err
+			if err := f(x); err != nil {
+				return err
 			}
-			r = append(r, w)
 		}
 		if len(o.LastEvaluatedKey) == 0 {
-			return r, nil
+			return nil
 		}
 		q.ExclusiveStartKey = o.LastEvaluatedKey
 	}
@@ -238,28 +266,40 @@
 	return &types.AttributeValueMemberN{Value: strconv.FormatUint(uint64(v), 10)}
 }
 
+// decodeVersion returns the key and the version of an item.
+func decodeVersion(m map[string]types.AttributeValue) (Key, Version, error) {
+	k, ok := m[attrKey].(*types.AttributeValueMemberS)
+	n, okn := m[attrVersion].(*types.AttributeValueMemberN)
+	if !ok || !okn {
+		return "", 0, errors.Wrap(ErrUnavailable, "item lacks the key or the version of a row")
+	}
+	v, err := strconv.ParseUint(n.Value, 10, 64)
+	if err != nil {
+		return "", 0, errors.Wrapf(ErrUnavailable, "row %s: version %q", k.Value, n.Value)
+	}
+	return Key(k.Value), Version(v), nil
+}
+
 // decodeRow returns the row of an item; version 0 if there is none.
 func decodeRow(m map[string]types.AttributeValue) (Row, error) {
 	var r Row
 	if len(m) == 0 {
 		return r, nil
 	}
-	k, ok := m[attrKey].(*types.AttributeValueMemberS)
-	n, okn := m[attrVersion].(*types.AttributeValueMemberN)
+	k, v, err := decodeVersion(m)
+	if err != nil {
+		return r, err
+	}
 	b, okb := m[attrValue].(*types.AttributeValueMemberB)
 	l, okl := m[attrTxns].(*types.AttributeValueMemberL)
-	if !ok || !okn || !okb || !okl {
-		return r, errors.Wrap(ErrUnavailable, "item lacks an attribute of a row")
-	}
-	v, err := strconv.ParseUint(n.Value, 10, 64)
-	if err != nil {
-		return r, errors.Wrapf(ErrUnavailable, "row %s: version %q", k.Value, n.Value)
+	if !okb || !okl {
+		return r, errors.Wrapf(ErrUnavailable, "row %s lacks an attribute", k)
 	}
-	r = Row{Key: Key(k.Value), Version: Version(v), Value: b.Value}
+	r = Row{Key: k, Version: v, Value: b.Value}
 	for _, x := range l.Value {
 		s, ok := x.(*types.AttributeValueMemberS)
 		if !ok {
-			return r, errors.Wrapf(ErrUnavailable, "row %s: transaction id is not a string", k.Value)
+			return r, errors.Wrapf(ErrUnavailable, "row %s: transaction id is not a string", k)
 		}
 		r.Txns = append(r.Txns, TxnID(s.Value))
 	}
--- a/table/fake.go
+++ b/table/fake.go
@@ -195,6 +195,19 @@
 	return l, nil
 }
 
+// Versions implements Store.
+func (f *Fake) Versions(c context.Context, prefix Key) (map[Key]Version, error) {
+	l, err := f.Scan(c, prefix)
+	if err != nil {
+		return nil, err
+	}
+	m := make(map[Key]Version, len(l))
+	for _, r := range l {
+		m[r.Key] = r.Version
+	}
+	return m, nil
+}
+
 // Commit implements Store.
 func (f *Fake) Commit(c context.Context, t Txn) error {
 	if err := t.Validate(); err != nil {
--- a/table/table.go
+++ b/table/table.go
@@ -162,6 +162,10 @@
 	// their keys. The rows may stem from different instants. It returns
 	// ErrUnavailable.
 	Scan(c context.Context, prefix Key) ([]Row, error)
+	// Versions returns the versions of all rows whose key begins with the prefix.
+	// It costs the service as much as Scan, but little on the network. The
+	// versions may stem from different instants. It returns ErrUnavailable.
+	Versions(c context.Context, prefix Key) (map[Key]Version, error)
 	// Commit applies the transaction once. It returns ErrConflict,
 	// ErrAmbiguous, ErrUnavailable or ErrInvalid. Apart from ErrAmbiguous the
 	// errors tell nothing about earlier calls with the same transaction.
