Don't hand a home over while its upstream is lost or shards move

The timeline shows evacuation-started at its home, then the handover of the home to a restarted instance 1.5 s later: the handover ended the authority to move the shards, and waited until the requests in flight at the lost upstream had passed their deadlines. A failed handover, suspected before, was ruled out: it succeeded. Change: no handover for balance while the upstream is silent or drains, or while shards move; a retiring home doesn't wait for requests of an upstream whose grants have expired. The hold of a new hot-key shard at an upstream without fencing is set when the shard is added, so that a split that was read back is held, too. TestNoHandoverOfLostUpstream keeps the condition.

--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -20,7 +19,6 @@
 	"dandelionrock.example/dandelionrock/lease"
 	"dandelionrock.example/dandelionrock/order"
 	"dandelionrock.example/dandelionrock/queue"
-	"dandelionrock.example/dandelionrock/route"
 	"dandelionrock.example/dandelionrock/schema"
 	"dandelionrock.example/dandelionrock/shard"
 	"dandelionrock.example/dandelionrock/table"
@@ -106,6 +104,10 @@
 	// pending is a transaction whose outcome is not known yet.
 	pending *table.Txn
 
+	// failed is when a failed evacuation was recorded last; used by the mover
+	// alone.
+	failed clock.Time
+
 	renewNow, confirmNow, moveNow chan struct{}
 	stop                          context.CancelFunc
 	life                          context.Context
@@ -126,13 +128,6 @@
 	until clock.Time
 }
 
-// grantTimeout bounds one exchange of a grant, as a fraction of the time to
-// live. A lost message must leave time for another one before grants expire.
-const grantTimeout = 2
-
-// renewals is the number of renewals within one time to live.
-const renewals = 5
-
 // New starts the home of a term that is known to be committed.
 func New(c Config) *Home {
 	x, f := context.WithCancel(context.Background())
@@ -182,130 +177,6 @@
 	return h.life.Err() == nil
 }
 
-func (h *Home) renewLoop() {
-	p := h.c.Lease.TTL / renewals
-	for h.wait(h.renewNow, p) {
-		h.renew()
-	}
-}
-
-// renew exchanges one grant message with the upstream.
-func (h *Home) renew() {
-	h.mu.Lock()
-	sent := h.c.Now()
-	m, ok := h.lease.Grant(sent)
-	h.mu.Unlock()
-	if !ok {
-		return
-	}
-	c, f := context.WithTimeout(h.life, h.c.Lease.TTL/grantTimeout)
-	defer f()
-	a, err := h.c.Granter.Grant(c, m)
-	if err != nil {
-		// The shards of an upstream that doesn't answer have to be known, too.
-		signal(h.confirmNow)
-		return
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	now := h.c.Now()
-	if err := h.lease.Answer(sent, now, a); errors.Is(err, lease.ErrSuperseded) {
-		h.c.Events.Record("home-superseded", string(h.c.Key), event.Uint("term", a.GetTerm()))
-		return
-	}
-	h.watchDrain(now)
-	if h.lease.NeedsConfirm() || !h.synced {
-		signal(h.confirmNow)
-	}
-	if m.GetBootId() == "" {
-		signal(h.renewNow)
-	}
-	signal(h.moveNow)
-}
-
-// watchDrain records when the upstream began to drain. The caller holds mu.
-func (h *Home) watchDrain(now clock.Time) {
-	switch {
-	case !h.lease.Draining() && !h.evicted:
-		h.leaving = 0
-	case h.leaving == 0:
-		h.leaving = now
-		h.c.Events.Record("upstream-draining", string(h.c.Key))
-	}
-}
-
-const (
-	// confirmations is the number of reads of the home row within one hold time,
-	// so that some may fail.
-	confirmations = 4
-	// confirmPause and maxConfirmPause bound the pause after a failed read of the
-	// home row. It doubles with each failure and varies by a half, so that the
-	// homes don't read together when the store comes back.
-	confirmPause    = 50 * time.Millisecond
-	maxConfirmPause = 5 * time.Second
-)
-
-func (h *Home) confirmLoop() {
-	p := confirmPause
-	for h.wait(h.confirmNow, h.c.Lease.Hold/confirmations) {
-		if !h.needsConfirm() || h.confirm() {
-			p = confirmPause
-			continue
-		}
-		if !h.wait(nil, p/2+rand.N(p)) {
-			return
-		}
-		p = min(2*p, maxConfirmPause, h.c.Lease.Hold/confirmations)
-		signal(h.confirmNow)
-	}
-}
-
-func (h *Home) needsConfirm() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.lease.Superseded() {
-		return false
-	}
-	due := h.lease.State(h.c.Now()).ConfirmedFor < h.c.Lease.Hold*(confirmations-1)/confirmations
-	return due || h.lease.NeedsConfirm() || !h.synced
-}
-
-// confirm reads the home row and the shards in one read and reports whether
-// the read succeeded.
-func (h *Home) confirm() bool {
-	k := []table.Key{h.c.Key}
-	n := shard.Blocks(h.c.Service.ShardCount)
-	for i := range n {
-		k = append(k, route.BlockKey(h.c.Lease.Organisation, h.c.Service.Name, i))
-	}
-	sent := h.c.Now()
-	rows, err := h.c.Store.Read(h.life, k...)
-	if err != nil {
-		return false
-	}
-	h.c.Directory.Apply(rows...)
-	h.Confirmed(sent, rows[0])
-	h.mu.Lock()
-	h.synced = true
-	h.mu.Unlock()
-	h.Sync()
-	signal(h.renewNow)
-	return true
-}
-
-// Confirmed takes the home row as read by a read that was sent at the given
-// time.
-func (h *Home) Confirmed(sent clock.Time, r table.Row) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	switch {
-	case r.Version == h.c.Version:
-		h.lease.Confirm(sent)
-	case r.Version > h.c.Version:
-		h.lease.Supersede()
-	}
-}
-
 // Sync takes over the owners in the directory.
 func (h *Home) Sync() {
 	m := h.c.Directory.Map(h.c.Lease.Organisation, h.c.Service.Name)
@@ -319,6 +190,7 @@
 	}
 	m.All(func(i shard.ID, e shard.Entry) bool {
 		if e.Upstream == h.c.Upstream.Name {
+			h.holdSplit(m, i)
 			h.lease.Add(i, e.Epoch)
 			if e.Epoch > h.gains[i].epoch {
 				h.gains[i] = gain{e.Epoch, time.Now()}
@@ -346,6 +218,14 @@
 	return h.leaving != 0 || h.silent(h.c.Now()) > h.c.Lease.TTL/2
 }
 
+// Moving reports whether shards are moving away from the upstream or will have
+// to. A handover would stop the moves until the successor starts them again.
+func (h *Home) Moving() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.leaving != 0 || h.silent(h.c.Now()) > h.c.Lease.TTL/2 || len(h.moves) > 0 || h.pending != nil
+}
+
 // silent returns for how long the upstream has not answered in this term.
 func (h *Home) silent(now clock.Time) time.Duration {
 	t, ok := h.lease.LastResponse()
@@ -406,8 +286,8 @@
 		h.mu.Lock()
 		now := h.c.Now()
 		ok, _ := h.lease.Retire(now)
-		for _, f := range h.flights {
-			ok = ok && f.count == 0 && f.until <= now
+		for i := range h.flights {
+			ok = ok && h.drained(now, i)
 		}
 		ok = ok && h.pending == nil
 		h.mu.Unlock()
--- a/internal/home/hot.go
+++ b/internal/home/hot.go
@@ -52,20 +52,18 @@
 	}
 }
 
-// holdSplits keeps new shards of hot keys where they are for as long as a
-// request on the key that was dispatched under the base shard may be executed.
-// An upstream that checks fences refuses such a request by its older epoch.
-func (h *Home) holdSplits(m *shard.Map) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.checked() {
+// holdSplit keeps the new shard of a hot key where it is for as long as a request
+// on the key that was dispatched under the base shard may be executed. An
+// upstream that checks fences refuses such a request by its older epoch. The
+// caller holds mu.
+func (h *Home) holdSplit(m *shard.Map, i shard.ID) {
+	if h.checked() || uint32(i) < m.Count() || h.lease.Owned(i) {
 		return
 	}
-	u := h.c.Now().Add(h.c.Lease.Drift.Stretch(h.c.Lease.MaxRequest))
-	m.All(func(i shard.ID, e shard.Entry) bool {
-		if e.Upstream == h.c.Upstream.Name && uint32(i) >= m.Count() && !h.lease.Owned(i) {
-			h.flights[i] = &flight{until: u}
-		}
-		return true
-	})
+	f := h.flights[i]
+	if f == nil {
+		f = &flight{}
+		h.flights[i] = f
+	}
+	f.until = max(f.until, h.c.Now().Add(h.c.Lease.Drift.Stretch(h.c.Lease.MaxRequest)))
 }
--- a/internal/home/move.go
+++ b/internal/home/move.go
@@ -22,6 +22,9 @@
 	// movingPoll is the same while shards are being moved: grants expire without
 	// a signal.
 	movingPoll = 10 * time.Millisecond
+	// failurePause separates two events of the same failure, so that they don't
+	// push the others out of the timeline.
+	failurePause = 5 * time.Second
 	// settleTimeout bounds one attempt to settle a transaction, after which the
 	// mover looks at the state of the home again.
 	settleTimeout = 2 * time.Second
@@ -84,15 +87,24 @@
 	}
 	l, err := h.c.Targets()
 	if err != nil {
+		if now.Sub(h.failed) > failurePause {
+			h.failed = now
+			h.c.Events.Record("evacuation-failed", string(h.c.Key), event.Err(err))
+		}
 		return
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	n := len(h.moves)
 	for _, m := range l {
 		if _, busy := h.moves[m.Shard]; !busy {
 			h.moves[m.Shard] = m.To
 		}
 	}
+	if n == 0 && len(h.moves) > 0 {
+		h.c.Events.Record("evacuation-started", string(h.c.Key), event.Int("shards", len(h.moves)),
+			event.Duration("silent", h.silent(now)))
+	}
 }
 
 // release stops the dispatch on the shards that shall move, and returns those
@@ -276,7 +288,6 @@
 	}
 	evacuated := n > 0 && (h.leaving != 0 || h.silent(h.c.Now()) > h.c.Lease.TTL)
 	h.mu.Unlock()
-	h.holdSplits(m)
 	h.c.Announce(rows)
 	if evacuated {
 		// The requests that wait need not wait for the slots of an upstream that
--- a/internal/node/keep.go
+++ b/internal/node/keep.go
@@ -61,7 +61,7 @@
 			n.dissolve(k, h)
 		case paramsOf(s, u) != paramsOf(h.Configuration()):
 			n.handOverTo(k, h, n.self.ID, "configuration-changed")
-		case moved < maxHandovers:
+		case moved < maxHandovers && !h.Moving():
 			if p, ok := n.better(k, u, live); ok {
 				moved++
 				n.handOverTo(k, h, p, "balance")
--- a/internal/node/traffic_test.go
+++ b/internal/node/traffic_test.go
@@ -10,6 +10,7 @@
 
 	"dandelionrock.example/dandelionrock/internal/header"
 	"dandelionrock.example/dandelionrock/internal/stand"
+	"dandelionrock.example/dandelionrock/route"
 	"dandelionrock.example/dandelionrock/table"
 )
 
@@ -214,3 +215,18 @@
 	}
 	t.Logf("%d requests, %v, %d writes after the outage", w.done.Load(), w.kinds, n)
 }
+
+// Guards against the handover of a home whose upstream was lost: it stops the
+// evacuation, which the successor has to begin again.
+func TestNoHandoverOfLostUpstream(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, service{name: "orders", settings: "shard-count = 8", upstreams: 2}).begin()
+	defer c.end()
+	c.ups[0].SetFaults(stand.UpstreamFaults{Outage: true})
+	k := route.HomeKey(organisation, "orders", c.ups[0].Name())
+	h := c.holder(c.ups[0].Name(), nil).node.home(k)
+	c.await("upstream lost", h.Unavailable)
+	if !h.Moving() {
+		t.Error("home may be handed over while its upstream is lost")
+	}
+}
