Name the connections of the bench links, add an example to clock

Cause: a bench connection was called a session, which means something else to readers of HTTP and database code; clock, which became public, had no example. Change: rename, and ExampleDrift.

--- a/clock/clock_test.go
+++ b/clock/clock_test.go
@@ -1,6 +1,7 @@
 package clock
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -25,3 +26,8 @@
 		t.Errorf("Boot() = %v after %v", b, a)
 	}
 }
+
+func ExampleDrift() {
+	fmt.Println(Drift(0.01).Stretch(time.Second))
+	// Output: 1.010000001s
+}
--- a/cmd/bench/client.go
+++ b/cmd/bench/client.go
@@ -42,9 +42,9 @@
 
 var errStatus = errors.New("answer has no outcome")
 
-// session is a connection to one address, opened on demand. It is not safe for
+// link is a connection to one address, opened on demand. It is not safe for
 // concurrent use.
-type session struct {
+type link struct {
 	address string
 	conn    net.Conn
 	read    *bufio.Reader
@@ -52,7 +52,7 @@
 }
 
 // do sends a request and reads the answer.
-func (s *session) do(c *call) result {
+func (s *link) do(c *call) result {
 	r, err := s.exchange(c)
 	if err != nil {
 		s.close()
@@ -61,14 +61,14 @@
 	return r
 }
 
-func (s *session) close() {
+func (s *link) close() {
 	if s.conn != nil {
 		_ = s.conn.Close()
 		s.conn = nil
 	}
 }
 
-func (s *session) open() error {
+func (s *link) open() error {
 	if s.conn != nil {
 		return nil
 	}
@@ -80,7 +80,7 @@
 	return nil
 }
 
-func (s *session) exchange(c *call) (result, error) {
+func (s *link) exchange(c *call) (result, error) {
 	if err := s.open(); err != nil {
 		return result{}, err
 	}
--- a/cmd/bench/load.go
+++ b/cmd/bench/load.go
@@ -80,7 +80,7 @@
 // work is one worker. The latency of a request that had to wait for the one
 // before it counts from when it was due.
 func (l *load) work(w int, begin time.Time) *tally {
-	t, s := newTally(), &session{address: l.addresses[w%len(l.addresses)]}
+	t, s := newTally(), &link{address: l.addresses[w%len(l.addresses)]}
 	defer s.close()
 	first, end := begin.Add(l.warm), begin.Add(l.warm+l.length)
 	for i := 0; ; i++ {
--- a/cmd/bench/probe.go
+++ b/cmd/bench/probe.go
@@ -27,18 +27,18 @@
 	entries []string
 	until   map[string]time.Time
 	// idle holds unused connections.
-	idle map[string][]*session
+	idle map[string][]*link
 }
 
 func newBalancer(l *layout, seed uint64) *balancer {
-	b := &balancer{random: rand.New(rand.NewPCG(seed, 2)), until: map[string]time.Time{}, idle: map[string][]*session{}}
+	b := &balancer{random: rand.New(rand.NewPCG(seed, 2)), until: map[string]time.Time{}, idle: map[string][]*link{}}
 	for _, i := range l.Instances {
 		b.entries = append(b.entries, i.HTTP)
 	}
 	return b
 }
 
-func (b *balancer) take() *session {
+func (b *balancer) take() *link {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var a string
@@ -52,11 +52,11 @@
 		b.idle[a] = l[:len(l)-1]
 		return l[len(l)-1]
 	}
-	return &session{address: a}
+	return &link{address: a}
 }
 
 // give returns a connection after a result.
-func (b *balancer) give(s *session, r result) {
+func (b *balancer) give(s *link, r result) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if r.outcome == broken {
--- a/cmd/bench/throughput.go
+++ b/cmd/bench/throughput.go
@@ -109,7 +109,7 @@
 	if err := c.layout.settled(x); err != nil {
 		return err
 	}
-	s := &session{address: entry.HTTP}
+	s := &link{address: entry.HTTP}
 	defer s.close()
 	for i := range 64 {
 		if r := s.do(lookup("lookups", i, 0, i)); r.outcome != header.Answered || r.home != home.ID {
