home: say each condition once

Cause: read again, the package had a Forward that only called forward, the condition of an unavailable upstream in two methods, and the creation of a flight count in two places. Change: one of each. No behaviour changes.

--- a/internal/home/dispatch.go
+++ b/internal/home/dispatch.go
@@ -22,11 +22,6 @@
 	reasonQueueFull  = "queue-full"
 )
 
-// Forward executes a request at the upstream. c ends at the request's deadline.
-func (h *Home) Forward(c context.Context, r *schema.ForwardRequest) *schema.ForwardReply {
-	return h.forward(c, r)
-}
-
 // stamp completes a reply with who gave it. It is called before the reply is
 // shared with the record of orders.
 func (h *Home) stamp(y *schema.ForwardReply) *schema.ForwardReply {
@@ -119,13 +114,19 @@
 	if e != 0 && t.Epoch != e {
 		return fence.Token{}, lease.ErrNotHeld
 	}
+	h.flight(i).count++
+	return t, nil
+}
+
+// flight returns the count of a shard, which may be a new one. The caller holds
+// mu.
+func (h *Home) flight(i shard.ID) *flight {
 	f := h.flights[i]
 	if f == nil {
 		f = &flight{}
 		h.flights[i] = f
 	}
-	f.count++
-	return t, nil
+	return f
 }
 
 // permit checks that a request may still be written with the token.
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -209,12 +209,17 @@
 }
 
 // Unavailable reports whether the upstream is silent or draining and should
-// get no shards. Half of the time to live is two missed renewals; the others
-// must know before the grants expire, or upstreams that are lost together are
-// evacuated to one another.
+// get no shards.
 func (h *Home) Unavailable() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return h.unavailable()
+}
+
+// unavailable implements Unavailable. Half of the time to live is two missed
+// renewals; the others must know before the grants expire, or upstreams that are
+// lost together are evacuated to one another. The caller holds mu.
+func (h *Home) unavailable() bool {
 	return h.leaving != 0 || h.silent(h.c.Now()) > h.c.Lease.TTL/2
 }
 
@@ -223,7 +228,7 @@
 func (h *Home) Moving() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.leaving != 0 || h.silent(h.c.Now()) > h.c.Lease.TTL/2 || len(h.moves) > 0 || h.pending != nil
+	return h.unavailable() || len(h.moves) > 0 || h.pending != nil
 }
 
 // silent returns for how long the upstream has not answered in this term.
--- a/internal/home/hot.go
+++ b/internal/home/hot.go
@@ -60,10 +60,6 @@
 	if h.checked() || uint32(i) < m.Count() || h.lease.Owned(i) {
 		return
 	}
-	f := h.flights[i]
-	if f == nil {
-		f = &flight{}
-		h.flights[i] = f
-	}
+	f := h.flight(i)
 	f.until = max(f.until, h.c.Now().Add(h.c.Lease.Drift.Stretch(h.c.Lease.MaxRequest)))
 }
--- a/internal/home/orders.go
+++ b/internal/home/orders.go
@@ -17,9 +17,9 @@
 	reasonRecordFull    = "order-record-full"
 )
 
-// forward executes a request, or answers a repeated order from the record of
-// orders.
-func (h *Home) forward(c context.Context, r *schema.ForwardRequest) *schema.ForwardReply {
+// Forward executes a request at the upstream, or answers a repeated order from
+// the record of orders. c ends at the request's deadline.
+func (h *Home) Forward(c context.Context, r *schema.ForwardRequest) *schema.ForwardReply {
 	if r.GetOrderId() == "" {
 		return h.stamp(h.run(c, r, 0))
 	}
