--- a/internal/comand/check.go
+++ b/internal/comand/check.go
@@ -67,3 +67,8 @@
 	}
 	return s.r.Serve(s.r.context, v)
 }
+
+type gateway struct{ r *run }
+
+// Execute implements flags.Commander.
+func (g *gateway) Execute([]string) error { return g.r.Gateway(g.r.context) }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/url"
 	"strings"
 	"time"
 
@@ -66,7 +67,10 @@
 	}
 	// Without a handler for paths that are not found kratos would use the
 	// global one of net/http.
-	s := khttp.NewServer(khttp.Listener(l), khttp.Timeout(0), khttp.StrictSlash(false), khttp.Filter(filter),
+	// Without an endpoint kratos would list the machine's network interfaces,
+	// which not every machine allows.
+	u := &url.URL{Scheme: "http", Host: l.Addr().String()}
+	s := khttp.NewServer(khttp.Listener(l), khttp.Endpoint(u), khttp.Timeout(0), khttp.StrictSlash(false), khttp.Filter(filter),
 		khttp.NotFoundHandler(caller), khttp.MethodNotAllowedHandler(caller))
 	s.ReadHeaderTimeout, s.IdleTimeout, s.MaxHeaderBytes = headerTimeout, idleTimeout, maxHeader
 	return s
--- /dev/null
+++ b/internal/gate/entry/entry.go
@@ -0,0 +1,267 @@
+// Package entry takes the requests of clients and has each executed by the
+// home of its target.
+package entry
+
+import (
+	"context"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dandelionrock.example/dandelionrock/clock"
+	"dandelionrock.example/dandelionrock/internal/gate/group"
+	"dandelionrock.example/dandelionrock/internal/header"
+	"dandelionrock.example/dandelionrock/internal/plan/budget"
+	"dandelionrock.example/dandelionrock/internal/plan/keys"
+	"dandelionrock.example/dandelionrock/internal/plan/place"
+	"dandelionrock.example/dandelionrock/internal/relay"
+	"dandelionrock.example/dandelionrock/internal/state/alive"
+	"dandelionrock.example/dandelionrock/internal/state/view"
+	"dandelionrock.example/dandelionrock/peer"
+	"dandelionrock.example/dandelionrock/platform"
+	"dandelionrock.example/dandelionrock/schema"
+	"github.com/rs/zerolog"
+)
+
+const (
+	// defaultDeadline is assumed of a client that states none.
+	defaultDeadline = 5 * time.Second
+	// defaultMaxBody bounds a request's body in bytes if the configuration
+	// doesn't.
+	defaultMaxBody = 64 << 20
+	// defaultObjective is assumed of a route that states none.
+	defaultObjective = time.Second
+)
+
+// Options are the parts that an entry uses.
+type Options struct {
+	Self   peer.Instance
+	Views  group.Views
+	Homes  *group.Homes
+	Pool   *relay.Pool
+	Alive  *alive.Set
+	Owners *keys.Owners
+	// Regions maps failure domains to their regions.
+	Regions map[string]string
+	Bound   budget.Bound
+	Log     zerolog.Logger
+	// Leaving reports whether the instance is shutting down.
+	Leaving func() bool
+}
+
+// Entry handles the requests of clients. Use New.
+type Entry struct {
+	Options
+	loads place.Loads
+	calls atomic.Uint64
+	group sync.WaitGroup
+
+	mu      sync.Mutex
+	budgets map[string]*budget.Budget
+	// turns counts the requests of each route, to divide them by weight.
+	turns map[string]uint64
+	// counts holds the requests for each bucket of keys since the last report.
+	counts map[string]map[uint32]uint32
+	// deadlines holds the longest deadline seen on each route: a shorter one is
+	// that of a client that returns.
+	deadlines map[string]time.Duration
+}
+
+// New returns an entry.
+func New(o Options) *Entry {
+	return &Entry{
+		Options: o, budgets: map[string]*budget.Budget{}, turns: map[string]uint64{}, counts: map[string]map[uint32]uint32{},
+		deadlines: map[string]time.Duration{},
+	}
+}
+
+// Close waits for the calls in the background.
+func (e *Entry) Close() error {
+	e.group.Wait()
+	return nil
+}
+
+// ServeHTTP handles one request.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header()["Date"] = nil
+	if e.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	begin := clock.Boot()
+	v := e.Views.View()
+	if v.Desired == nil {
+		e.refuse(w, r, http.StatusServiceUnavailable, "no-configuration", time.Second)
+		return
+	}
+	route := match(v.Desired, r)
+	if route == nil {
+		e.refuse(w, r, http.StatusNotFound, "no-route", 0)
+		return
+	}
+	body, status := readBody(w, r, v.Desired.Limits.MaxBody)
+	if status != 0 {
+		e.refuse(w, r, status, "bad-body", 0)
+		return
+	}
+	q, reason := e.newRequest(begin, v, route, r, body)
+	if reason != "" {
+		e.refuse(w, r, http.StatusBadRequest, reason, 0)
+		return
+	}
+	c, stop := context.WithDeadline(r.Context(), time.Now().Add(q.end.Sub(clock.Boot())))
+	defer stop()
+	q.serve(c)
+	if r.Context().Err() != nil {
+		e.Log.Debug().Str("event", "client-gone").Str("request", q.attempt).Msg("")
+		return
+	}
+	q.respond(w)
+}
+
+// match returns the route of a request, or nil: among those of its host the one
+// with the longest prefix of its path.
+func match(d *platform.Desired, r *http.Request) *platform.Route {
+	path, _, _ := strings.Cut(uri(r), "?")
+	var best *platform.Route
+	for i := range d.Routes {
+		n := &d.Routes[i]
+		if n.Host == r.Host && strings.HasPrefix(path, n.Prefix) && (best == nil || len(n.Prefix) > len(best.Prefix)) {
+			best = n
+		}
+	}
+	return best
+}
+
+// uri returns the request target as it was sent, without a scheme and host.
+func uri(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+// readBody reads the body. It returns the status of a refusal, or 0.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, int) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, 0
+	}
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err == nil {
+		return b, 0
+	}
+	if _, ok := err.(*http.MaxBytesError); ok {
+		return nil, http.StatusRequestEntityTooLarge
+	}
+	return nil, http.StatusBadRequest
+}
+
+// newRequest returns the request to execute, or the reason why it can't be.
+func (e *Entry) newRequest(begin clock.Time, v *view.View, t *platform.Route, r *http.Request, body []byte) (*request, string) {
+	q := &request{entry: e, route: t, begin: begin, attempt: r.Header.Get(platform.HeaderAttempt)}
+	deadline := defaultDeadline
+	if s := r.Header.Get(platform.HeaderDeadline); s != "" {
+		n, err := strconv.ParseInt(s, 10, 64)
+		if err != nil || n < 0 {
+			return nil, "bad-deadline"
+		}
+		deadline = time.Duration(n) * time.Millisecond
+	}
+	q.end = begin.Add(min(deadline, t.Timeout))
+	q.service = v.Desired.Services[e.pick(t)]
+	if q.service.Keyed {
+		n, err := strconv.ParseUint(r.Header.Get(platform.HeaderKey), 10, 16)
+		if err != nil {
+			return nil, "bad-key"
+		}
+		q.key = uint32(n)
+		e.count(q.service.Name, q.key)
+	}
+	q.objective = begin.Add(e.objective(t, deadline))
+	fields, _ := header.Fields(r.Header, false)
+	if a := r.Header.Get("Authorization"); a != "" {
+		fields = append(fields, &schema.HeaderField{Name: "Authorization", Value: a})
+	}
+	q.message = schema.SendRequest{
+		Entry: e.Self.ID, Service: q.service.Name, Method: r.Method, Uri: uri(r), Host: r.Host, Headers: without(fields), Body: body,
+		AttemptId: q.attempt, Priority: int32(t.Priority), Idempotent: t.Idempotent,
+	}
+	return q, ""
+}
+
+// without drops the headers that the home sets itself.
+func without(fields []*schema.HeaderField) []*schema.HeaderField {
+	out := fields[:0]
+	for _, f := range fields {
+		switch f.Name {
+		case platform.HeaderAttempt, platform.HeaderDeadline, platform.HeaderTarget:
+		default:
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
+// objective returns the time left for the latency objective. Clients that
+// return state less time than at first; what they have used counts.
+func (e *Entry) objective(t *platform.Route, deadline time.Duration) time.Duration {
+	o := t.Objective
+	if o <= 0 {
+		o = defaultObjective
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	longest := max(e.deadlines[t.Name], deadline)
+	e.deadlines[t.Name] = longest
+	return o - (longest - deadline)
+}
+
+// goldenRatio gives a sequence of fractions that divides any interval evenly.
+const goldenRatio = 0.6180339887498949
+
+// pick chooses a service of a route in proportion to the weights.
+func (e *Entry) pick(t *platform.Route) string {
+	if len(t.Split) == 1 {
+		return t.Split[0].Service
+	}
+	e.mu.Lock()
+	e.turns[t.Name]++
+	n := e.turns[t.Name]
+	e.mu.Unlock()
+	total := 0
+	for _, p := range t.Split {
+		total += p.Weight
+	}
+	_, f := math.Modf(float64(n) * goldenRatio)
+	f *= float64(total)
+	for _, p := range t.Split {
+		if f -= float64(p.Weight); f < 0 {
+			return p.Service
+		}
+	}
+	return t.Split[0].Service
+}
+
+// refuse answers a request that was not run.
+func (e *Entry) refuse(w http.ResponseWriter, r *http.Request, status int, reason string, retry time.Duration) {
+	e.Log.Info().Str("event", "request-refused").Str("request", r.Header.Get(platform.HeaderAttempt)).Str("host", r.Host).Str("reason", reason).Int("status", status).Msg("")
+	respond(w, status, r.Header.Get(platform.HeaderAttempt), reason, retry)
+}
+
+// respond writes an answer of the router's own.
+func respond(w http.ResponseWriter, status int, attempt, reason string, retry time.Duration) {
+	h := w.Header()
+	header.Set(h, platform.HeaderAttempt, attempt, header.Reason, reason)
+	if retry > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(retry.Seconds(), 'f', 3, 64))
+	}
+	h.Set("Content-Length", "0")
+	w.WriteHeader(status)
+}
--- /dev/null
+++ b/internal/gate/entry/request.go
@@ -0,0 +1,415 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"dandelionrock.example/dandelionrock/clock"
+	"dandelionrock.example/dandelionrock/internal/gate/group"
+	"dandelionrock.example/dandelionrock/internal/header"
+	"dandelionrock.example/dandelionrock/internal/plan/budget"
+	"dandelionrock.example/dandelionrock/internal/plan/keys"
+	"dandelionrock.example/dandelionrock/internal/plan/place"
+	"dandelionrock.example/dandelionrock/internal/plan/pool"
+	"dandelionrock.example/dandelionrock/internal/relay"
+	"dandelionrock.example/dandelionrock/peer"
+	"dandelionrock.example/dandelionrock/platform"
+	"dandelionrock.example/dandelionrock/schema"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// maxUnsent bounds the homes that are asked for one request without its
+	// being sent to a target: each costs a round trip.
+	maxUnsent = 4
+	// keyWait is how long a request waits for an owner of its key before it is
+	// refused, and at most a part of its objective.
+	keyWait = 400 * time.Millisecond
+	// retryMoving is when a request for a key without an owner may come back.
+	retryMoving = 300 * time.Millisecond
+	// retryLost is when a request may come back whose home was lost.
+	retryLost = 200 * time.Millisecond
+	// homeMargin is the additional time for the reply of a home.
+	homeMargin = 100 * time.Millisecond
+)
+
+// request is one request of a client.
+type request struct {
+	entry     *Entry
+	route     *platform.Route
+	service   platform.Service
+	key       uint32
+	attempt   string
+	begin     clock.Time
+	objective clock.Time
+	end       clock.Time
+	message   schema.SendRequest
+
+	// sent counts the targets that the request was sent to, unsent the tries
+	// that reached none.
+	sent, unsent int
+	// ran is set once a target may have run the request.
+	ran bool
+	// exclude names targets and full the domains that are not tried again.
+	exclude, full []string
+	reply         *schema.SendReply
+	status        int
+	reason        string
+	retry         time.Duration
+}
+
+// serve has the request executed and leaves the answer in reply, or status.
+func (q *request) serve(c context.Context) {
+	q.countRequest()
+	for {
+		k, at, ok := q.choose(c)
+		if !ok {
+			return
+		}
+		a, err := q.send(c, k, at)
+		if c.Err() != nil {
+			q.expire(a, err)
+			return
+		}
+		if !q.again(a, err, k) {
+			return
+		}
+	}
+}
+
+// expire concludes a request whose time is over.
+func (q *request) expire(a *schema.SendReply, err error) {
+	if err == nil && a.Outcome == schema.SendOutcome_SEND_OUTCOME_ANSWERED {
+		q.reply = a
+		return
+	}
+	q.fail(http.StatusGatewayTimeout, "deadline", 0)
+}
+
+// fail gives the answer of a request without one of a target. A request that
+// was certainly not run may come back.
+func (q *request) fail(status int, reason string, retry time.Duration) {
+	if q.ran && status == http.StatusServiceUnavailable {
+		status = http.StatusBadGateway
+	}
+	q.status, q.reason, q.retry = status, reason, retry
+}
+
+// choose returns the group that shall run the request and the place of its
+// targets.
+func (q *request) choose(c context.Context) (group.Key, peer.Place, bool) {
+	if q.service.Keyed {
+		return q.owner(c)
+	}
+	e := q.entry
+	v := e.Views.View()
+	slots := map[string]int{}
+	for _, t := range v.Services[q.service.Name] {
+		if !t.Leaving && !slices.Contains(q.full, t.FailureDomain) && !slices.Contains(q.exclude, t.ID) {
+			slots[t.FailureDomain] += t.Slots
+		}
+	}
+	var cs []place.Candidate
+	for d, n := range slots {
+		cs = append(cs, place.Candidate{Service: q.service.Name, Domain: d, Distance: e.distance(d), Slots: n})
+	}
+	b, ok := e.loads.Choose(clock.Boot(), cs)
+	if !ok {
+		q.giveUp("no-target")
+		return group.Key{}, peer.Place{}, false
+	}
+	return group.Key{Service: q.service.Name, FailureDomain: b.Domain}, e.place(b.Domain), true
+}
+
+// giveUp refuses a request for which no target is left to try.
+func (q *request) giveUp(reason string) {
+	if q.reply != nil {
+		return
+	}
+	if q.reason != "" {
+		reason = q.reason
+	}
+	q.fail(http.StatusServiceUnavailable, reason, max(q.retry, retryMoving))
+}
+
+func (e *Entry) distance(domain string) place.Distance {
+	switch {
+	case domain == e.Self.FailureDomain:
+		return place.Same
+	case e.Regions[domain] == e.Self.Region:
+		return place.Region
+	}
+	return place.Far
+}
+
+func (e *Entry) place(domain string) peer.Place {
+	return peer.Place{Region: e.Regions[domain], FailureDomain: domain}
+}
+
+// owner returns the group of the target that owns the request's key. It waits
+// a while for one.
+func (q *request) owner(c context.Context) (group.Key, peer.Place, bool) {
+	e := q.entry
+	limit := time.NewTimer(keyWait)
+	defer limit.Stop()
+	for {
+		n, changed := e.Owners.Find(clock.Boot(), q.service.Name, q.key)
+		if n != nil && !slices.Contains(q.exclude, q.ownerID(n)) {
+			if t := e.Views.View().Targets[n.Target]; t != nil && t.Born == n.Born && !t.Leaving {
+				return group.Key{Service: q.service.Name, Target: t.ID}, e.place(t.FailureDomain), true
+			}
+		}
+		select {
+		case <-changed:
+		case <-limit.C:
+			q.giveUp("no-owner")
+			return group.Key{}, peer.Place{}, false
+		case <-c.Done():
+			q.expire(nil, c.Err())
+			return group.Key{}, peer.Place{}, false
+		}
+	}
+}
+
+// ownerID names an owner of a range under one fence: a target that rejected a
+// request for a key may get it under a higher fence.
+func (q *request) ownerID(n *schema.KeyRange) string {
+	return n.Target + "@" + strconv.FormatUint(n.Fence, 10)
+}
+
+// send asks the home of a group to execute the request.
+func (q *request) send(c context.Context, k group.Key, at peer.Place) (*schema.SendReply, error) {
+	e := q.entry
+	m := &q.message
+	now := clock.Boot()
+	m.Call = e.calls.Add(1)
+	m.FailureDomain, m.Target = k.FailureDomain, k.Target
+	m.Exclude = q.exclude
+	m.LeftMs, m.ObjectiveMs = q.end.Sub(now).Milliseconds(), q.objective.Sub(now).Milliseconds()
+	if q.service.Keyed {
+		m.Exclude = nil
+	}
+	i := e.home(k, at)
+	e.loads.Begin(k.Service, k.FailureDomain)
+	a := &schema.SendReply{}
+	err := e.call(c, i, m, a)
+	var l *pool.Load
+	if a.Load != nil {
+		l = &pool.Load{Slots: int(a.Load.Slots), Running: int(a.Load.Running), Waiting: int(a.Load.Waiting), Mean: time.Duration(a.Load.ServiceMs) * time.Millisecond}
+	}
+	e.loads.End(clock.Boot(), k.Service, k.FailureDomain, l)
+	return a, err
+}
+
+// home returns the instance that sends to a group: this one, if no other is
+// known.
+func (e *Entry) home(k group.Key, at peer.Place) peer.Instance {
+	if n := e.Alive.Nearest(e.Views.View(), k.Name(), at); len(n) > 0 {
+		return n[0]
+	}
+	return e.Self
+}
+
+// call makes a call to a home. When the client has gone, the home is told.
+func (e *Entry) call(c context.Context, i peer.Instance, m *schema.SendRequest, a *schema.SendReply) error {
+	if i.ID == e.Self.ID {
+		return e.callSelf(c, m, a)
+	}
+	// The home ends the request at its deadline; its reply takes a little longer.
+	d, stop := context.WithTimeout(context.WithoutCancel(c), time.Duration(m.LeftMs)*time.Millisecond+homeMargin)
+	defer stop()
+	unhook := context.AfterFunc(c, func() {
+		if errors.Is(c.Err(), context.Canceled) {
+			e.withdraw(i, m.Call)
+			stop()
+		}
+	})
+	defer unhook()
+	err := e.Pool.Call(d, i.RPCAddress, "Gate.Send", m, a)
+	if err != nil && c.Err() == nil && e.Alive.Suspect(i) {
+		e.Log.Warn().Str("event", "instance-suspected").Str("instance", i.ID).Str("call", "send").Str("request", m.AttemptId).Err(err).Msg("")
+	}
+	return err
+}
+
+func (e *Entry) callSelf(c context.Context, m *schema.SendRequest, a *schema.SendReply) error {
+	unhook := context.AfterFunc(c, func() {
+		if errors.Is(c.Err(), context.Canceled) {
+			_ = e.Homes.Withdraw(&schema.WithdrawRequest{Entry: m.Entry, Call: m.Call}, nil)
+		}
+	})
+	defer unhook()
+	return e.Homes.Send(m, a)
+}
+
+// withdrawTimeout bounds the message that a client has gone.
+const withdrawTimeout = time.Second
+
+func (e *Entry) withdraw(i peer.Instance, call uint64) {
+	e.group.Go(func() {
+		c, stop := context.WithTimeout(context.Background(), withdrawTimeout)
+		defer stop()
+		if err := e.Pool.Call(c, i.RPCAddress, "Gate.Withdraw", &schema.WithdrawRequest{Entry: e.Self.ID, Call: call}, &schema.Empty{}); err != nil {
+			e.Log.Debug().Str("event", "withdraw-failed").Str("instance", i.ID).Err(err).Msg("")
+		}
+	})
+}
+
+// again concludes a try. It reports whether another one shall follow.
+func (q *request) again(a *schema.SendReply, err error, k group.Key) bool {
+	if err != nil {
+		return q.againAfterLoss(err)
+	}
+	switch a.Outcome {
+	case schema.SendOutcome_SEND_OUTCOME_ANSWERED:
+		q.sent++
+		q.ran = true
+		q.reply = a
+		return a.Status >= http.StatusInternalServerError && q.route.Idempotent && !q.service.Keyed && q.repeat(a)
+	case schema.SendOutcome_SEND_OUTCOME_REFUSED:
+		return q.againAfterRefusal(a, k)
+	case schema.SendOutcome_SEND_OUTCOME_UNREACHABLE:
+		q.unsent++
+		q.exclude = append(q.exclude, q.excluded(a))
+		q.fail(http.StatusServiceUnavailable, a.Reason, retryMoving)
+		return q.unsent < maxUnsent
+	case schema.SendOutcome_SEND_OUTCOME_REJECTED:
+		q.sent++
+		q.fail(http.StatusServiceUnavailable, a.Reason, retryMoving)
+		return q.repeat(a)
+	}
+	q.sent++
+	q.ran = true
+	q.fail(http.StatusBadGateway, a.Reason, 0)
+	return q.route.Idempotent && q.repeat(a)
+}
+
+// excluded names the target of a reply for the next try.
+func (q *request) excluded(a *schema.SendReply) string {
+	if !q.service.Keyed {
+		return a.Target
+	}
+	n, _ := q.entry.Owners.Find(clock.Boot(), q.service.Name, q.key)
+	if n == nil {
+		return a.Target
+	}
+	return q.ownerID(n)
+}
+
+func (q *request) againAfterLoss(err error) bool {
+	if errors.Is(err, relay.ErrNotSent) {
+		q.unsent++
+		q.fail(http.StatusServiceUnavailable, "home-unreachable", retryLost)
+		return q.unsent < maxUnsent
+	}
+	q.sent++
+	q.ran = true
+	q.fail(http.StatusBadGateway, "home-lost", 0)
+	return q.route.Idempotent && q.repeat(&schema.SendReply{})
+}
+
+func (q *request) againAfterRefusal(a *schema.SendReply, k group.Key) bool {
+	q.unsent++
+	q.fail(http.StatusServiceUnavailable, a.Reason, time.Duration(a.RetryMs)*time.Millisecond)
+	if q.service.Keyed {
+		if a.Reason != pool.ReasonNoTarget {
+			return false
+		}
+		q.exclude = append(q.exclude, q.excluded(a))
+		return q.unsent < maxUnsent
+	}
+	q.full = append(q.full, k.FailureDomain)
+	return q.unsent < maxUnsent
+}
+
+// repeat reports whether the request may be sent to another target, by its
+// route and by the budget of its service.
+func (q *request) repeat(a *schema.SendReply) bool {
+	if q.sent >= q.route.Attempts {
+		return false
+	}
+	if !q.entry.repeat(q.service.Name) {
+		q.entry.Log.Info().Str("event", "repeat-denied").Str("request", q.attempt).Str("service", q.service.Name).Msg("")
+		return false
+	}
+	if a.Target != "" {
+		q.exclude = append(q.exclude, q.excluded(a))
+	}
+	return true
+}
+
+// repeat draws on the budget of a service.
+func (e *Entry) repeat(service string) bool {
+	n := len(e.Views.View().Instances)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.budget(service).Repeat(clock.Boot(), e.Bound, n)
+}
+
+// budget returns the budget of a service; the caller holds mu.
+func (e *Entry) budget(service string) *budget.Budget {
+	b := e.budgets[service]
+	if b == nil {
+		b = &budget.Budget{}
+		e.budgets[service] = b
+	}
+	return b
+}
+
+func (q *request) countRequest() {
+	e := q.entry
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.budget(q.service.Name).Request(clock.Boot(), e.Bound)
+}
+
+// respond writes the answer.
+func (q *request) respond(w http.ResponseWriter) {
+	took := clock.Boot().Sub(q.begin)
+	if a := q.reply; a != nil {
+		h := w.Header()
+		header.Copy(h, a.Headers, false)
+		if h["Content-Type"] == nil {
+			h["Content-Type"] = nil
+		}
+		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+		w.WriteHeader(int(a.Status))
+		_, err := w.Write(a.Body)
+		q.entry.Log.Debug().Str("event", "request-answered").Str("request", q.attempt).Str("service", q.service.Name).Str("target", a.Target).
+			Int32("status", a.Status).Dur("took", took).Int("sent", q.sent).Err(err).Msg("")
+		return
+	}
+	q.entry.Log.Info().Str("event", "request-failed").Str("request", q.attempt).Str("route", q.route.Name).Str("service", q.service.Name).
+		Int("status", q.status).Str("reason", q.reason).Dur("took", took).Int("sent", q.sent).Int("unsent", q.unsent).Bool("ran", q.ran).
+		Dur("retry-after", q.retry).Msg("")
+	respond(w, q.status, q.attempt, q.reason, q.retry)
+}
+
+// count counts a request for a key.
+func (e *Entry) count(service string, key uint32) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	m := e.counts[service]
+	if m == nil {
+		m = map[uint32]uint32{}
+		e.counts[service] = m
+	}
+	m[key/keys.BucketKeys]++
+}
+
+// TakeCounts returns the requests for each bucket of keys of a service since
+// the last call.
+func (e *Entry) TakeCounts(service string) []*schema.BucketLoad {
+	e.mu.Lock()
+	m := e.counts[service]
+	delete(e.counts, service)
+	e.mu.Unlock()
+	var out []*schema.BucketLoad
+	for b, n := range m {
+		out = append(out, &schema.BucketLoad{Bucket: b, Count: n})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/gate/group/group.go
@@ -0,0 +1,297 @@
+// Package group is the home of groups of targets: the one sender of their
+// requests. A group is the targets of a service in one failure domain or, if
+// the service owns keys, one target.
+package group
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"dandelionrock.example/dandelionrock/clock"
+	"dandelionrock.example/dandelionrock/internal/gate/line"
+	"dandelionrock.example/dandelionrock/internal/plan/pool"
+	"dandelionrock.example/dandelionrock/internal/state/view"
+	"dandelionrock.example/dandelionrock/platform"
+	"dandelionrock.example/dandelionrock/schema"
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+)
+
+// Key identifies a group.
+type Key struct{ Service, FailureDomain, Target string }
+
+// Name returns the name by which the home of the group is chosen.
+func (k Key) Name() string { return k.Service + "/" + k.FailureDomain + "/" + k.Target }
+
+// Views gives the present view.
+type Views interface{ View() *view.View }
+
+// Homes runs requests for the groups whose home this instance is. Use New.
+type Homes struct {
+	views Views
+	lines *line.Lines
+	log   zerolog.Logger
+
+	mu     sync.Mutex
+	next   pool.ID
+	groups map[Key]*home
+	calls  map[call]context.CancelFunc
+	group  sync.WaitGroup
+}
+
+// call identifies a request by its entry.
+type call struct {
+	entry  string
+	number uint64
+}
+
+// home is one group. Its mutex guards the pool and the waiters.
+type home struct {
+	key  Key
+	mu   sync.Mutex
+	pool pool.Pool
+	// view is the one that the pool's targets were taken from.
+	view    *view.View
+	targets map[string]*platform.Target
+	waiting map[pool.ID]chan pool.Decision
+}
+
+// New returns Homes without groups.
+func New(v Views, l *line.Lines, g zerolog.Logger) *Homes {
+	return &Homes{views: v, lines: l, log: g, groups: map[Key]*home{}, calls: map[call]context.CancelFunc{}}
+}
+
+// Close waits for the requests in progress.
+func (h *Homes) Close() error {
+	h.group.Wait()
+	return nil
+}
+
+// Busy returns the number of requests in progress.
+func (h *Homes) Busy() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.calls)
+}
+
+// Send runs a request, for another instance or this one.
+func (h *Homes) Send(q *schema.SendRequest, a *schema.SendReply) error {
+	c, stop := context.WithTimeout(context.Background(), time.Duration(q.LeftMs)*time.Millisecond)
+	defer stop()
+	n := call{q.Entry, q.Call}
+	h.mu.Lock()
+	h.next++
+	id := h.next
+	h.calls[n] = stop
+	h.group.Add(1)
+	h.mu.Unlock()
+	defer func() {
+		h.mu.Lock()
+		delete(h.calls, n)
+		h.mu.Unlock()
+		h.group.Done()
+	}()
+	g := h.home(Key{q.Service, q.FailureDomain, q.Target})
+	h.run(c, g, id, q, a)
+	g.describe(a)
+	return nil
+}
+
+// Withdraw ends a request whose client has gone.
+func (h *Homes) Withdraw(q *schema.WithdrawRequest, _ *schema.Empty) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if stop := h.calls[call{q.Entry, q.Call}]; stop != nil {
+		stop()
+	}
+	return nil
+}
+
+func (h *Homes) home(k Key) *home {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	g := h.groups[k]
+	if g == nil {
+		g = &home{key: k, waiting: map[pool.ID]chan pool.Decision{}}
+		h.groups[k] = g
+	}
+	return g
+}
+
+// run decides on a request and executes it.
+func (h *Homes) run(c context.Context, g *home, id pool.ID, q *schema.SendRequest, a *schema.SendReply) {
+	now := clock.Boot()
+	end := now.Add(time.Duration(q.LeftMs) * time.Millisecond)
+	r := pool.Request{ID: id, Priority: int(q.Priority), Begin: now, Objective: now.Add(time.Duration(q.ObjectiveMs) * time.Millisecond), End: end, Exclude: q.Exclude}
+	d, wait := g.offer(now, h.views.View(), r)
+	if wait != nil {
+		d = g.wait(c, id, wait)
+	}
+	if d.Verdict != pool.Start {
+		a.Outcome, a.Reason, a.RetryMs = schema.SendOutcome_SEND_OUTCOME_REFUSED, d.Reason, d.Retry.Milliseconds()
+		return
+	}
+	h.execute(c, g, d.Target, q, a, end)
+}
+
+// offer passes a request to the pool. The channel gives the later decision on a
+// request that waits.
+func (g *home) offer(now clock.Time, v *view.View, r pool.Request) (pool.Decision, chan pool.Decision) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.adopt(v)
+	g.settle(now)
+	d := g.pool.Offer(now, r)
+	if d.Verdict != pool.Wait {
+		return d, nil
+	}
+	w := make(chan pool.Decision, 1)
+	g.waiting[r.ID] = w
+	return d, w
+}
+
+// adopt takes over the targets of a view; the caller holds mu.
+func (g *home) adopt(v *view.View) {
+	if g.view == v {
+		return
+	}
+	g.view = v
+	g.targets = map[string]*platform.Target{}
+	var ts []pool.Target
+	for _, t := range v.Services[g.key.Service] {
+		if t.Leaving || g.key.Target != "" && t.ID != g.key.Target || g.key.Target == "" && t.FailureDomain != g.key.FailureDomain {
+			continue
+		}
+		g.targets[t.ID] = t
+		ts = append(ts, pool.Target{ID: t.ID, Slots: t.Slots, Cold: t.Cold, Born: t.Born})
+	}
+	g.pool.SetTargets(ts)
+}
+
+// settle passes on the decisions that have become due; the caller holds mu.
+func (g *home) settle(now clock.Time) {
+	for _, d := range g.pool.Next(now) {
+		if w := g.waiting[d.ID]; w != nil {
+			delete(g.waiting, d.ID)
+			w <- d
+		}
+	}
+}
+
+// checkInterval is how often a waiting request is reconsidered when nothing
+// ends: pauses of targets run out, and targets come and go.
+const checkInterval = 50 * time.Millisecond
+
+// wait waits for the decision on a request.
+func (g *home) wait(c context.Context, id pool.ID, w chan pool.Decision) pool.Decision {
+	t := time.NewTicker(checkInterval)
+	defer t.Stop()
+	for {
+		select {
+		case d := <-w:
+			return d
+		case <-t.C:
+			g.mu.Lock()
+			g.settle(clock.Boot())
+			g.mu.Unlock()
+		case <-c.Done():
+			return g.withdraw(id, w)
+		}
+	}
+}
+
+// withdraw takes back a waiting request, unless it was decided meanwhile.
+func (g *home) withdraw(id pool.ID, w chan pool.Decision) pool.Decision {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case d := <-w:
+		return d
+	default:
+	}
+	g.pool.Cancel(id)
+	delete(g.waiting, id)
+	return pool.Decision{ID: id, Verdict: pool.Refuse, Reason: pool.ReasonExpired}
+}
+
+// execute sends a request to a target.
+func (h *Homes) execute(c context.Context, g *home, id string, q *schema.SendRequest, a *schema.SendReply, end clock.Time) {
+	g.mu.Lock()
+	t := g.targets[id]
+	g.mu.Unlock()
+	begin := clock.Boot()
+	result, err := pool.Cancelled, error(nil)
+	defer func() {
+		now := clock.Boot()
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.pool.Done(now, t.ID, t.Born, now.Sub(begin), result)
+		g.adopt(h.views.View())
+		g.settle(now)
+	}()
+	a.Target = t.ID
+	if c.Err() != nil {
+		a.Outcome, a.Reason = schema.SendOutcome_SEND_OUTCOME_REFUSED, pool.ReasonExpired
+		return
+	}
+	// The answer to an order is waited for even if its client has gone: it
+	// counts against the target's slots.
+	if !q.Idempotent {
+		c = context.WithoutCancel(c)
+	}
+	r := &line.Request{
+		Method: q.Method, URI: q.Uri, Host: q.Host, Headers: q.Headers, Body: q.Body, Attempt: q.AttemptId,
+		End: time.Now().Add(end.Sub(begin)),
+	}
+	var w *line.Answer
+	w, err = h.lines.Do(c, line.Peer{ID: t.ID, Born: t.Born, Address: t.Address}, r)
+	result = conclude(c, w, err, a)
+	if result != pool.Answered {
+		h.log.Info().Str("event", "target-failed").Str("request", q.AttemptId).Str("service", q.Service).Str("target", t.ID).
+			Str("outcome", a.Outcome.String()).Int32("status", a.Status).Dur("took", clock.Boot().Sub(begin)).Err(err).Msg("")
+	}
+}
+
+// conclude translates the end of an exchange.
+func conclude(c context.Context, w *line.Answer, err error, a *schema.SendReply) pool.Result {
+	switch {
+	case errors.Is(err, line.ErrNotSent):
+		a.Outcome, a.Reason = schema.SendOutcome_SEND_OUTCOME_UNREACHABLE, "target-unreachable"
+		return pool.Unreachable
+	case err != nil:
+		a.Outcome, a.Reason = schema.SendOutcome_SEND_OUTCOME_UNKNOWN, "no-answer"
+		if errors.Is(c.Err(), context.Canceled) {
+			return pool.Cancelled
+		}
+		return pool.Failed
+	}
+	a.Status, a.Body = int32(w.Status), w.Body
+	if w.NotRun {
+		a.Outcome, a.Reason = schema.SendOutcome_SEND_OUTCOME_REJECTED, "target-rejected"
+		return pool.Rejected
+	}
+	ok := w.Status >= 200 && w.Status < 300
+	if ok && w.Header.Get(platform.HeaderDigest) == "" {
+		a.Outcome, a.Reason = schema.SendOutcome_SEND_OUTCOME_UNKNOWN, "no-digest"
+		return pool.Failed
+	}
+	a.Outcome = schema.SendOutcome_SEND_OUTCOME_ANSWERED
+	for k, vs := range w.Header {
+		for _, v := range vs {
+			a.Headers = append(a.Headers, &schema.HeaderField{Name: k, Value: v})
+		}
+	}
+	if w.Status >= 500 {
+		return pool.Failed
+	}
+	return pool.Answered
+}
+
+// describe adds the load of the group to a reply.
+func (g *home) describe(a *schema.SendReply) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := g.pool.Load(clock.Boot())
+	a.Load = &schema.GroupLoad{Slots: uint32(l.Slots), Running: uint32(l.Running), Waiting: uint32(l.Waiting), ServiceMs: uint32(l.Mean.Milliseconds())}
+}
--- /dev/null
+++ b/internal/gate/keep/grant.go
@@ -0,0 +1,78 @@
+package keep
+
+import (
+	"context"
+	"net/netip"
+
+	"dandelionrock.example/dandelionrock/clock"
+	"dandelionrock.example/dandelionrock/platform"
+	"dandelionrock.example/dandelionrock/schema"
+	"github.com/cockroachdb/errors"
+)
+
+// renewTarget renews the grants of one target, one after the other.
+func (k *Keeper) renewTarget(c context.Context, h *holding, o owner, at netip.AddrPort, rs []*schema.KeyRange) {
+	h.calls.Lock()
+	defer h.calls.Unlock()
+	for _, r := range rs {
+		if !k.owns(r) {
+			continue
+		}
+		if err := k.grant(c, h, at, r, ""); err != nil {
+			k.log.Warn().Str("event", "grant-failed").Str("target", o.id).Uint64("fence", r.Fence).Uint32("from", r.From).Err(err).Msg("")
+			break
+		}
+	}
+	k.mu.Lock()
+	h.busy = false
+	k.mu.Unlock()
+}
+
+// owns reports whether a range is granted as it was when a renewal was planned:
+// this instance is still the keeper, and the range is not being moved.
+func (k *Keeper) owns(r *schema.KeyRange) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.row == nil || clock.Boot().Sub(k.confirmed) > authority {
+		return false
+	}
+	for _, v := range k.row.Ranges {
+		if v.From == r.From && v.To == r.To && v.Target == r.Target && v.Fence == r.Fence && v.Born == r.Born {
+			return !k.paused[v.From]
+		}
+	}
+	return false
+}
+
+// grant sends one grant and records how long it may be in force. The caller
+// holds the target's calls.
+func (k *Keeper) grant(c context.Context, h *holding, at netip.AddrPort, r *schema.KeyRange, handover string) error {
+	c, stop := context.WithTimeout(c, grantTimeout)
+	defer stop()
+	k.mu.Lock()
+	h.until = max(h.until, clock.Boot().Add(grantTimeout+drift.Stretch(hold)+holdMargin))
+	k.mu.Unlock()
+	err := k.granter.Grant(c, at, keysOf(r), hold, handover)
+	end := clock.Boot()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err == nil {
+		h.until = end.Add(drift.Stretch(hold))
+		h.acked = h.acked.Replace(r)
+	}
+	if errors.Is(err, platform.ErrFenced) {
+		k.fenced = true
+	}
+	return err
+}
+
+// acknowledged reports whether the target has acknowledged a grant of the range
+// under its fence; the caller holds the keeper's mutex.
+func (h *holding) acknowledged(r *schema.KeyRange) bool {
+	a := h.acked.Find(r.From)
+	return a != nil && a.To >= r.To && a.Fence == r.Fence
+}
+
+func keysOf(r *schema.KeyRange) platform.Keys {
+	return platform.Keys{From: int(r.From), To: int(r.To), Fence: platform.Fence(r.Fence)}
+}
--- /dev/null
+++ b/internal/gate/keep/keep.go
@@ -0,0 +1,314 @@
+// Package keep grants the keys of a service to its targets. One instance, the
+// keeper, does so for each service. The row with the assignment names it, and
+// every write of the row is conditional on its version.
+//
+// A keeper acts only while it knows that the row is still its own, by a read or
+// write sent less than authority ago. A successor raises the fences of all
+// keys, which shuts the predecessor out at every target that it reaches, and
+// takes no keys from the others before the predecessor's authority and its
+// last grants have run out.
+package keep
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"dandelionrock.example/dandelionrock/clock"
+	"dandelionrock.example/dandelionrock/internal/plan/keys"
+	"dandelionrock.example/dandelionrock/internal/relay"
+	"dandelionrock.example/dandelionrock/internal/state/alive"
+	"dandelionrock.example/dandelionrock/internal/state/spread"
+	"dandelionrock.example/dandelionrock/internal/state/view"
+	"dandelionrock.example/dandelionrock/peer"
+	"dandelionrock.example/dandelionrock/platform"
+	"dandelionrock.example/dandelionrock/schema"
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	// tick is the interval of a keeper's work.
+	tick = 100 * time.Millisecond
+	// hold is the time for which keys are granted: keys of a lost target are
+	// out of service for as long.
+	hold = 3 * time.Second
+	// renewInterval leaves room for two lost renewals within a hold.
+	renewInterval = 750 * time.Millisecond
+	// drift bounds how much slower the clock of a target may run.
+	drift clock.Drift = 0.02
+	// holdMargin covers the way of a grant to its target.
+	holdMargin = 300 * time.Millisecond
+	// authority is how long a keeper acts without news from the store; it rides
+	// out the usual outage of some seconds.
+	authority = 12 * time.Second
+	// grantTimeout bounds one grant.
+	grantTimeout = 700 * time.Millisecond
+	// releaseTimeout bounds one release, which waits for the work in progress.
+	releaseTimeout = 2 * time.Second
+	// rebalanceInterval is the time between looks at the load.
+	rebalanceInterval = time.Second
+	// maxMoves bounds the moves of one look.
+	maxMoves = 4
+	// loadMemory is the time in which a count of requests halves.
+	loadMemory = 2 * time.Second
+)
+
+// Keeper keeps the keys of one service. Use New.
+type Keeper struct {
+	service string
+	self    peer.Instance
+	spread  *spread.Spread
+	store   *platform.Store
+	granter *platform.Granter
+	pool    *relay.Pool
+	alive   *alive.Set
+	owners  *keys.Owners
+	log     zerolog.Logger
+	leaving func() bool
+
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+
+	mu sync.Mutex
+	// row is the assignment that this instance wrote last; nil unless it is the
+	// keeper.
+	row     *schema.KeyMap
+	version platform.Version
+	// confirmed is when the call was sent that last showed the row as ours.
+	confirmed clock.Time
+	// holds tells until when each target may hold keys, by its run.
+	holds map[owner]*holding
+	// moving is set while keys are being moved; paused holds the first keys of
+	// the ranges that are not renewed meanwhile.
+	moving bool
+	paused map[uint32]bool
+	// seen holds the last address of each run of a target.
+	seen map[owner]*platform.Target
+	// fenced is set when a target has seen a higher fence.
+	fenced bool
+	// predecessorEnd is when the grants of an earlier keeper have run out.
+	predecessorEnd clock.Time
+	rebalanced     clock.Time
+	load           keys.Load
+	loadTime       clock.Time
+	watch          watch
+}
+
+// owner identifies a run of a target.
+type owner struct {
+	id   string
+	born int64
+}
+
+// holding is what is known of the grants to a run of a target.
+type holding struct {
+	// calls serialises the calls to the target, so that a renewal can't follow
+	// a release.
+	calls sync.Mutex
+	// until is when the last grant has run out at the latest.
+	until clock.Time
+	// renewed is when the last renewal began.
+	renewed clock.Time
+	// asked is when the target was last asked to release keys.
+	asked clock.Time
+	// acked holds the ranges that the target is known to have been granted by
+	// this keeper. Until then a late grant of a predecessor, whose fence the
+	// target has not seen exceeded, may follow on a release.
+	acked keys.Ranges
+	busy  bool
+}
+
+// Options are the parts that a keeper uses.
+type Options struct {
+	Service string
+	Self    peer.Instance
+	Spread  *spread.Spread
+	Store   *platform.Store
+	Granter *platform.Granter
+	Pool    *relay.Pool
+	Alive   *alive.Set
+	Owners  *keys.Owners
+	Log     zerolog.Logger
+	// Leaving reports whether the instance is shutting down.
+	Leaving func() bool
+}
+
+// New returns a keeper and starts it.
+func New(o Options) *Keeper {
+	k := &Keeper{
+		service: o.Service, self: o.Self, spread: o.Spread, store: o.Store, granter: o.Granter, pool: o.Pool, alive: o.Alive,
+		owners: o.Owners, log: o.Log.With().Str("service", o.Service).Logger(), leaving: o.Leaving,
+		holds: map[owner]*holding{}, paused: map[uint32]bool{}, seen: map[owner]*platform.Target{},
+	}
+	c, stop := context.WithCancel(context.Background())
+	k.cancel = stop
+	k.group.Go(func() { k.run(c) })
+	return k
+}
+
+// Close ends the work of the keeper and waits for its calls.
+func (k *Keeper) Close() error {
+	k.cancel()
+	k.group.Wait()
+	return nil
+}
+
+func (k *Keeper) run(c context.Context) {
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
+		select {
+		case <-c.Done():
+			return
+		case <-t.C:
+		}
+		k.step(c)
+	}
+}
+
+func (k *Keeper) step(c context.Context) {
+	v := k.spread.View()
+	now := clock.Boot()
+	m, known := v.Maps[k.service]
+	k.mu.Lock()
+	k.compare(m, known)
+	acting := k.row != nil
+	k.mu.Unlock()
+	if !acting {
+		k.watchKeeper(c, now, v, m, known)
+		return
+	}
+	if now.Sub(k.confirmed) > authority {
+		return
+	}
+	k.renew(c, now, v)
+	k.move(c, now, v)
+}
+
+// compare takes over what the store says of the row; the caller holds mu.
+func (k *Keeper) compare(m view.Map, known bool) {
+	if k.row == nil || !known || m.Version < k.version {
+		return
+	}
+	if m.Version > k.version {
+		k.log.Warn().Str("event", "keeper-superseded").Uint64("epoch", k.row.Epoch).Str("by", m.Keeper).Uint64("their-epoch", m.Epoch).Msg("")
+		k.row = nil
+		return
+	}
+	k.confirmed = max(k.confirmed, k.spread.OwnConfirmed())
+}
+
+// members returns the targets that may own keys.
+func (k *Keeper) members(v *view.View) []keys.Member {
+	var m []keys.Member
+	for _, t := range v.Services[k.service] {
+		if !t.Leaving {
+			m = append(m, keys.Member{ID: t.ID, Born: t.Born, Weight: float64(t.Slots)})
+		}
+	}
+	return m
+}
+
+// commit writes an assignment. It settles a write without an answer by sending
+// it again: the second succeeds, or the row shows whether the first did.
+func (k *Keeper) commit(c context.Context, m *schema.KeyMap, expect platform.Version) (platform.Version, clock.Time, error) {
+	m.Nonce = rand.Uint64()
+	b, err := proto.Marshal(m)
+	if err != nil {
+		return 0, 0, errors.Wrap(err, "encode keys")
+	}
+	key := view.PrefixKeys + k.service
+	w := platform.Write{
+		Expect: []platform.Condition{{Table: platform.TableOwn, Key: key, Version: expect}},
+		Put:    []platform.Row{{Table: platform.TableOwn, Key: key, Value: b}},
+	}
+	for range commitTries {
+		sent := clock.Boot()
+		var r platform.Rows
+		if r, err = k.store.Commit(c, w); err == nil {
+			k.spread.Learn(key, b, r.Version)
+			return r.Version, sent, nil
+		}
+		if errors.Is(err, platform.ErrConflict) {
+			return k.settle(r, m, b, sent)
+		}
+		k.log.Warn().Str("event", "commit-failed").Uint64("epoch", m.Epoch).Err(err).Msg("")
+		sleep(c, commitPause)
+	}
+	return 0, 0, err
+}
+
+const (
+	// commitTries is how often a write without an answer is sent.
+	commitTries = 4
+	// commitPause is the time between two of them.
+	commitPause = 150 * time.Millisecond
+)
+
+// settle decides whether a conflict is due to an earlier try of the same write.
+func (k *Keeper) settle(r platform.Rows, m *schema.KeyMap, b []byte, sent clock.Time) (platform.Version, clock.Time, error) {
+	for _, v := range r.Rows {
+		var n schema.KeyMap
+		if v.Key != view.PrefixKeys+k.service || v.Value == nil {
+			continue
+		}
+		if err := proto.Unmarshal(v.Value, &n); err != nil {
+			return 0, 0, errors.Wrap(err, "decode keys")
+		}
+		if n.Nonce == m.Nonce {
+			k.spread.Learn(v.Key, b, v.Version)
+			return v.Version, sent, nil
+		}
+		k.spread.Learn(v.Key, v.Value, v.Version)
+	}
+	return 0, 0, platform.ErrConflict
+}
+
+func sleep(c context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-c.Done():
+	}
+}
+
+// holding returns the record of a run of a target; the caller holds mu.
+func (k *Keeper) holding(r *schema.KeyRange) *holding {
+	o := owner{r.Target, r.Born}
+	h := k.holds[o]
+	if h == nil {
+		h = &holding{}
+		k.holds[o] = h
+	}
+	return h
+}
+
+// renew renews the grants that are due.
+func (k *Keeper) renew(c context.Context, now clock.Time, v *view.View) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.row == nil {
+		return
+	}
+	due := map[owner][]*schema.KeyRange{}
+	for _, r := range k.row.Ranges {
+		t := v.Targets[r.Target]
+		if t == nil || t.Born != r.Born || t.Service != k.service || k.paused[r.From] {
+			continue
+		}
+		k.seen[owner{r.Target, r.Born}] = t
+		if h := k.holding(r); !h.busy && now.Sub(h.renewed) >= renewInterval {
+			due[owner{r.Target, r.Born}] = append(due[owner{r.Target, r.Born}], r)
+		}
+	}
+	for o, rs := range due {
+		h := k.holds[o]
+		h.busy, h.renewed = true, now
+		at := v.Targets[o.id].Address
+		k.group.Go(func() { k.renewTarget(c, h, o, at, rs) })
+	}
+}
--- /dev/null
+++ b/internal/gate/keep/move.go
@@ -0,0 +1,312 @@
+package keep
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"dandelionrock.example/dandelionrock/clock"
+	"dandelionrock.example/dandelionrock/internal/plan/keys"
+	"dandelionrock.example/dandelionrock/internal/state/view"
+	"dandelionrock.example/dandelionrock/platform"
+	"dandelionrock.example/dandelionrock/schema"
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+)
+
+// Count adds the requests that an instance sent for buckets of keys.
+func (k *Keeper) Count(now clock.Time, loads []*schema.BucketLoad) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.decay(now)
+	for _, l := range loads {
+		if l.Bucket < keys.Buckets {
+			k.load[l.Bucket] += float64(l.Count) * math.Ln2 / loadMemory.Seconds()
+		}
+	}
+}
+
+// decay lets the counts fade; the caller holds mu.
+func (k *Keeper) decay(now clock.Time) {
+	f := math.Exp2(-float64(now.Sub(k.loadTime)) / float64(loadMemory))
+	k.loadTime = now
+	for i := range k.load {
+		k.load[i] *= f
+	}
+}
+
+// move starts the moves that are due, unless others are in progress.
+func (k *Keeper) move(c context.Context, now clock.Time, v *view.View) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.row == nil || k.moving {
+		return
+	}
+	m := k.members(v)
+	if k.fenced {
+		k.refence(c)
+		return
+	}
+	moves := k.ripe(now, v, keys.Rehome(k.row.Ranges, m, &k.load))
+	why := "owner-left"
+	if len(moves) == 0 && now.Sub(k.rebalanced) >= rebalanceInterval && keys.Owned(k.row.Ranges, m) {
+		k.rebalanced = now
+		k.decay(now)
+		moves, why = keys.Rebalance(k.row.Ranges, m, &k.load, maxMoves), "rebalance"
+	}
+	if len(moves) == 0 {
+		return
+	}
+	k.moving = true
+	row, version := proto.CloneOf(k.row), k.version
+	for _, n := range moves {
+		k.pause(row.Ranges, n.Range)
+	}
+	k.group.Go(func() { k.moveAll(c, v, row, version, moves, why) })
+}
+
+// pause stops the renewals of the ranges that overlap with r; the caller holds
+// mu.
+func (k *Keeper) pause(rs []*schema.KeyRange, r *schema.KeyRange) {
+	for _, v := range rs {
+		if v.To >= r.From && v.From <= r.To {
+			k.paused[v.From] = true
+		}
+	}
+}
+
+// ripe returns the moves whose owners can be asked for their keys, or can't
+// hold them any more.
+func (k *Keeper) ripe(now clock.Time, v *view.View, moves []keys.Move) []keys.Move {
+	var out []keys.Move
+	for _, m := range moves {
+		if k.free(now, v, m.Range) || k.reachable(now, v, m.Range) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// free reports whether the owner of a range holds no keys any more: it runs
+// anew, or its last grant and those of a predecessor have run out. The caller
+// holds mu.
+func (k *Keeper) free(now clock.Time, v *view.View, r *schema.KeyRange) bool {
+	if t := v.Targets[r.Target]; t != nil && t.Born > r.Born {
+		return true
+	}
+	h := k.holding(r)
+	return now >= max(h.until, k.predecessorEnd)
+}
+
+// reachable reports whether it is worth asking the owner of a range to release
+// it: it was last asked a while ago. The caller holds mu.
+func (k *Keeper) reachable(now clock.Time, v *view.View, r *schema.KeyRange) bool {
+	h := k.holding(r)
+	if _, ok := k.address(v, r); !ok {
+		return false
+	}
+	return now.Sub(h.asked) >= askInterval
+}
+
+// askInterval is the time between two tries to make a target release keys.
+const askInterval = time.Second
+
+// address returns where a run of a target was seen last; the caller holds mu.
+func (k *Keeper) address(v *view.View, r *schema.KeyRange) (*platform.Target, bool) {
+	if t := v.Targets[r.Target]; t != nil && t.Born == r.Born {
+		k.seen[owner{r.Target, r.Born}] = t
+	}
+	t, ok := k.seen[owner{r.Target, r.Born}]
+	return t, ok
+}
+
+// moveAll releases keys, commits their new owners and grants the keys to them.
+func (k *Keeper) moveAll(c context.Context, v *view.View, row *schema.KeyMap, version platform.Version, moves []keys.Move, why string) {
+	defer k.moved()
+	begin := clock.Boot()
+	var ranges []*schema.KeyRange
+	for _, m := range moves {
+		ranges = append(ranges, m.Range)
+	}
+	k.announce(c, v, &schema.KeysRequest{Service: k.service, Epoch: row.Epoch, Ranges: ranges, Moving: true})
+	handovers := k.releaseAll(c, v, moves)
+	var changed []*schema.KeyRange
+	var passed []string
+	row.Epoch++
+	for i, m := range moves {
+		if handovers[i].ok {
+			changed = append(changed, &schema.KeyRange{From: m.Range.From, To: m.Range.To, Target: m.Target, Born: m.Born, Fence: row.Epoch})
+			passed = append(passed, handovers[i].text)
+		}
+	}
+	if len(changed) == 0 {
+		return
+	}
+	row.Ranges = keys.Ranges(row.Ranges).Replace(changed...)
+	n, sent, err := k.commit(c, row, version)
+	if err != nil {
+		k.log.Warn().Str("event", "move-failed").Uint64("epoch", row.Epoch).Str("why", why).Err(err).Msg("")
+		return
+	}
+	k.mu.Lock()
+	if k.row == nil {
+		k.mu.Unlock()
+		return
+	}
+	k.row, k.version, k.confirmed = row, n, max(k.confirmed, sent)
+	k.mu.Unlock()
+	k.grantAll(c, v, changed, passed)
+	k.owners.Announce(clock.Boot(), &schema.KeysRequest{Service: k.service, Epoch: row.Epoch, Ranges: changed})
+	k.announce(c, v, &schema.KeysRequest{Service: k.service, Epoch: row.Epoch, Ranges: changed})
+	k.log.Info().Str("event", "keys-moved").Uint64("epoch", row.Epoch).Str("why", why).Int("ranges", len(changed)).
+		Int("keys", count(changed)).Dur("took", clock.Boot().Sub(begin)).Msg("")
+}
+
+func count(rs []*schema.KeyRange) int {
+	n := 0
+	for _, r := range rs {
+		n += int(r.To-r.From) + 1
+	}
+	return n
+}
+
+// moved ends a series of moves.
+func (k *Keeper) moved() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.moving = false
+	clear(k.paused)
+}
+
+// handover is the result of a release: ok means that the owner holds the keys
+// no more.
+type handover struct {
+	text string
+	ok   bool
+}
+
+func (k *Keeper) releaseAll(c context.Context, v *view.View, moves []keys.Move) []handover {
+	out := make([]handover, len(moves))
+	var g sync.WaitGroup
+	for i, m := range moves {
+		g.Go(func() { out[i] = k.release(c, v, m.Range) })
+	}
+	g.Wait()
+	return out
+}
+
+// release takes a range from its owner.
+func (k *Keeper) release(c context.Context, v *view.View, r *schema.KeyRange) handover {
+	k.mu.Lock()
+	h := k.holding(r)
+	t, ok := k.address(v, r)
+	if k.free(clock.Boot(), v, r) {
+		k.mu.Unlock()
+		return handover{ok: true}
+	}
+	h.asked = clock.Boot()
+	k.mu.Unlock()
+	if !ok {
+		return handover{}
+	}
+	h.calls.Lock()
+	defer h.calls.Unlock()
+	if err := k.raiseFence(c, h, t, r); err != nil {
+		k.log.Warn().Str("event", "grant-failed").Str("target", r.Target).Uint64("fence", r.Fence).Uint32("from", r.From).Err(err).Msg("")
+		return handover{}
+	}
+	c, stop := context.WithTimeout(c, releaseTimeout)
+	defer stop()
+	s, err := k.granter.Release(c, t.Address, keysOf(r))
+	if err != nil {
+		k.log.Warn().Str("event", "release-failed").Str("target", r.Target).Uint64("fence", r.Fence).Uint32("from", r.From).Err(err).Msg("")
+		return handover{}
+	}
+	return handover{s, true}
+}
+
+// raiseFence makes sure that a target refuses the grants of earlier keepers
+// before it is asked to release keys. The caller holds the target's calls.
+func (k *Keeper) raiseFence(c context.Context, h *holding, t *platform.Target, r *schema.KeyRange) error {
+	k.mu.Lock()
+	done := h.acknowledged(r)
+	k.mu.Unlock()
+	if done {
+		return nil
+	}
+	return k.grant(c, h, t.Address, r, "")
+}
+
+// grantAll grants ranges to their new owners. Renewals follow up on a grant
+// that fails.
+func (k *Keeper) grantAll(c context.Context, v *view.View, rs []*schema.KeyRange, handovers []string) {
+	var g sync.WaitGroup
+	for i, r := range rs {
+		k.mu.Lock()
+		h := k.holding(r)
+		t, ok := k.address(v, r)
+		k.mu.Unlock()
+		if !ok {
+			continue
+		}
+		g.Go(func() {
+			h.calls.Lock()
+			defer h.calls.Unlock()
+			if err := k.grant(c, h, t.Address, r, handovers[i]); err != nil {
+				k.log.Warn().Str("event", "grant-failed").Str("target", r.Target).Uint64("fence", r.Fence).Uint32("from", r.From).Err(err).Msg("")
+			}
+		})
+	}
+	g.Wait()
+}
+
+// refence raises the fences of all keys after a target has refused one; the
+// caller holds mu.
+func (k *Keeper) refence(c context.Context) {
+	k.moving, k.fenced = true, false
+	row, version := proto.CloneOf(k.row), k.version
+	k.group.Go(func() {
+		defer k.moved()
+		row.Epoch++
+		row.Ranges = keys.Ranges(row.Ranges).Refence(row.Epoch)
+		n, sent, err := k.commit(c, row, version)
+		if err != nil {
+			k.log.Warn().Str("event", "refence-failed").Uint64("epoch", row.Epoch).Err(err).Msg("")
+			return
+		}
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		if k.row != nil {
+			k.row, k.version, k.confirmed = row, n, max(k.confirmed, sent)
+			k.renewNow()
+		}
+	})
+}
+
+// renewNow makes all grants due; the caller holds mu.
+func (k *Keeper) renewNow() {
+	for _, h := range k.holds {
+		h.renewed = 0
+	}
+}
+
+// announceTimeout bounds the news to one instance; the others read the store.
+const announceTimeout = 500 * time.Millisecond
+
+// announce tells all instances of a move.
+func (k *Keeper) announce(c context.Context, v *view.View, q *schema.KeysRequest) {
+	k.owners.Announce(clock.Boot(), q)
+	for _, i := range v.Instances {
+		if i.ID == k.self.ID || k.alive.Suspected(i) {
+			continue
+		}
+		k.group.Go(func() {
+			c, stop := context.WithTimeout(c, announceTimeout)
+			defer stop()
+			if err := k.pool.Call(c, i.RPCAddress, "Gate.Keys", q, &schema.Empty{}); err != nil && !errors.Is(err, context.Canceled) {
+				k.log.Debug().Str("event", "announce-failed").Str("instance", i.ID).Err(err).Msg("")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/gate/keep/watch.go
@@ -0,0 +1,188 @@
+package keep
+
+import (
+	"context"
+	"time"
+
+	"dandelionrock.example/dandelionrock/clock"
+	"dandelionrock.example/dandelionrock/internal/plan/keys"
+	"dandelionrock.example/dandelionrock/internal/state/view"
+	"dandelionrock.example/dandelionrock/peer"
+	"dandelionrock.example/dandelionrock/platform"
+	"dandelionrock.example/dandelionrock/schema"
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	// askKeeper is the interval at which the first instances in the order ask
+	// the keeper whether it runs, askRarely that of the others.
+	askKeeper = 500 * time.Millisecond
+	askRarely = 3 * time.Second
+	// askTimeout bounds one question.
+	askTimeout = 500 * time.Millisecond
+	// closeRanks is how many instances ask often.
+	closeRanks = 2
+	// lostAfter is the silence after which the first in the order takes over,
+	// and rankDelay the additional time for each further one.
+	lostAfter = 1200 * time.Millisecond
+	rankDelay = 700 * time.Millisecond
+	// firstDelay spreads the first assignment of a service.
+	firstDelay = 500 * time.Millisecond
+)
+
+// watch is what an instance that is not the keeper knows of the keeper.
+type watch struct {
+	keeper, incarnation string
+	// since is when the keeper was first seen, or the service was first seen
+	// without one.
+	since clock.Time
+	asked clock.Time
+	// silent is when the first of the questions was sent that have had no
+	// answer in a row; 0 if the last one was answered.
+	silent clock.Time
+	// ended is when the keeper was found to have ended or to be shutting down;
+	// 0 if it was not.
+	ended clock.Time
+	busy  bool
+}
+
+// watchKeeper takes the service over if it has no keeper or its keeper is lost.
+func (k *Keeper) watchKeeper(c context.Context, now clock.Time, v *view.View, m view.Map, known bool) {
+	if k.leaving() || len(k.members(v)) == 0 {
+		return
+	}
+	r, ok := k.rank(v, m, known)
+	if !ok {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	w := &k.watch
+	if !known {
+		m = view.Map{KeyMap: &schema.KeyMap{}}
+	}
+	if w.keeper != m.Keeper || w.incarnation != m.Incarnation || w.since == 0 {
+		*w = watch{keeper: m.Keeper, incarnation: m.Incarnation, since: now, busy: w.busy}
+	}
+	if !known {
+		if now.Sub(w.since) >= time.Duration(r+1)*firstDelay {
+			k.takeOver(c, now, v, m)
+		}
+		return
+	}
+	if w.ended == 0 && v.Incarnations[m.Keeper] != m.Incarnation {
+		w.ended = now
+	}
+	if w.lost(now, r) {
+		k.takeOver(c, now, v, m)
+		return
+	}
+	k.ask(c, now, v, r)
+}
+
+// lost reports whether an instance of the given rank shall take over.
+func (w *watch) lost(now clock.Time, rank int) bool {
+	d := time.Duration(rank) * rankDelay
+	if w.ended != 0 {
+		return now.Sub(w.ended) >= d
+	}
+	return w.silent != 0 && now.Sub(w.silent) >= lostAfter+d
+}
+
+// rank returns the place of this instance among those that may succeed the
+// keeper.
+func (k *Keeper) rank(v *view.View, m view.Map, known bool) (int, bool) {
+	n := 0
+	for _, i := range k.alive.Nearest(v, view.PrefixKeys+k.service, peer.Place{}) {
+		if i.ID == k.self.ID {
+			return n, true
+		}
+		if !known || i.ID != m.Keeper {
+			n++
+		}
+	}
+	return 0, false
+}
+
+// ask asks the keeper whether it runs; the caller holds mu.
+func (k *Keeper) ask(c context.Context, now clock.Time, v *view.View, rank int) {
+	w := &k.watch
+	interval := askKeeper
+	if rank >= closeRanks && w.silent == 0 {
+		interval = askRarely
+	}
+	i, ok := v.Instance(w.keeper)
+	if w.busy || !ok || now.Sub(w.asked) < interval {
+		return
+	}
+	w.busy, w.asked = true, now
+	k.group.Go(func() { k.askOnce(c, now, i) })
+}
+
+func (k *Keeper) askOnce(c context.Context, now clock.Time, i peer.Instance) {
+	c, stop := context.WithTimeout(c, askTimeout)
+	defer stop()
+	var a schema.PingReply
+	err := k.pool.Call(c, i.RPCAddress, "Gate.Ping", &schema.PingRequest{InstanceId: k.self.ID}, &a)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	w := &k.watch
+	w.busy = false
+	if w.keeper != i.ID {
+		return
+	}
+	switch {
+	case err != nil:
+		if w.silent == 0 {
+			w.silent = now
+		}
+		k.log.Debug().Str("event", "keeper-silent").Str("instance", i.ID).Err(err).Msg("")
+	case a.Incarnation != w.incarnation || a.Leaving:
+		w.ended = now
+	default:
+		w.silent = 0
+	}
+}
+
+// takeOver makes this instance the keeper; the caller holds mu.
+func (k *Keeper) takeOver(c context.Context, now clock.Time, v *view.View, m view.Map) {
+	w := &k.watch
+	if w.busy {
+		return
+	}
+	w.busy = true
+	n := &schema.KeyMap{Service: k.service, Epoch: m.Epoch + 1, Keeper: k.self.ID, Incarnation: k.self.Incarnation}
+	if len(m.Ranges) == 0 {
+		n.Ranges = keys.Initial(k.members(v), n.Epoch)
+	} else {
+		n.Ranges = keys.Ranges(m.Ranges).Refence(n.Epoch)
+	}
+	// The process of a keeper that has started again has ended for certain.
+	ended := m.Keeper != "" && v.Incarnations[m.Keeper] != "" && v.Incarnations[m.Keeper] != m.Incarnation || m.Keeper == ""
+	silent := now.Sub(max(w.silent, w.ended))
+	k.group.Go(func() { k.takeOverOnce(c, n, m, ended, silent) })
+}
+
+func (k *Keeper) takeOverOnce(c context.Context, n *schema.KeyMap, m view.Map, ended bool, silent time.Duration) {
+	version, sent, err := k.commit(c, n, m.Version)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.watch = watch{since: clock.Boot()}
+	if err != nil {
+		k.log.Warn().Str("event", "take-over-failed").Uint64("epoch", n.Epoch).Err(errors.Wrap(err, "take over")).Msg("")
+		return
+	}
+	now := clock.Boot()
+	k.row, k.version, k.confirmed = proto.CloneOf(n), version, sent
+	k.holds, k.paused, k.seen = map[owner]*holding{}, map[uint32]bool{}, map[owner]*platform.Target{}
+	k.moving, k.fenced = false, false
+	k.predecessorEnd = now
+	if m.Keeper != "" {
+		k.predecessorEnd = now.Add(drift.Stretch(hold) + holdMargin)
+	}
+	if !ended {
+		k.predecessorEnd = k.predecessorEnd.Add(drift.Stretch(authority))
+	}
+	k.log.Info().Str("event", "keeper-took-over").Uint64("epoch", n.Epoch).Str("from", m.Keeper).Bool("ended", ended).Dur("silent", silent).Msg("")
+}
--- /dev/null
+++ b/internal/gate/line/line.go
@@ -0,0 +1,320 @@
+// Package line sends requests to targets over kept connections. It never sends
+// a request twice.
+package line
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"dandelionrock.example/dandelionrock/platform"
+	"dandelionrock.example/dandelionrock/schema"
+	"github.com/cockroachdb/errors"
+)
+
+// Results of a request other than an answer.
+var (
+	// ErrNotSent reports that nothing was sent.
+	ErrNotSent = errors.New("request was not sent")
+	// ErrNoAnswer reports that the target may have run the request.
+	ErrNoAnswer = errors.New("no usable answer")
+)
+
+const (
+	// dialTimeout bounds the opening of a connection. Within a region this
+	// takes some milliseconds; a full queue of new connections costs seconds.
+	dialTimeout = 500 * time.Millisecond
+	// idleLimit is how long an idle connection is kept if its target states
+	// no limit; targets close idle connections after ten seconds.
+	idleLimit = 8 * time.Second
+	// idleMargin is kept from a limit that a target states.
+	idleMargin = time.Second
+	// maxBody bounds an answer in bytes.
+	maxBody = 16 << 20
+	// maxStrays bounds the late answers to other requests that are skipped.
+	maxStrays = 4
+	// unackedTimeout is the time after which data without an acknowledgement
+	// ends a connection.
+	unackedTimeout = 2 * time.Second
+)
+
+// Peer identifies a run of a target.
+type Peer struct {
+	ID      string
+	Born    int64
+	Address netip.AddrPort
+}
+
+// Request is a request with everything that is sent.
+type Request struct {
+	Method, URI, Host string
+	Headers           []*schema.HeaderField
+	Body              []byte
+	Attempt           string
+	// End is when the answer is no longer waited for.
+	End time.Time
+}
+
+// Answer is a whole answer of a target.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// NotRun tells that the target has not run the request.
+	NotRun bool
+}
+
+// Lines holds the connections to all targets. Use New.
+type Lines struct {
+	mu     sync.Mutex
+	closed bool
+	idle   map[Peer][]*conn
+	dials  int
+}
+
+type conn struct {
+	net.Conn
+	r *bufio.Reader
+	// until is when an idle connection is no longer used.
+	until time.Time
+}
+
+// New returns Lines without connections.
+func New() *Lines { return &Lines{idle: map[Peer][]*conn{}} }
+
+// Dials returns the number of connections opened so far.
+func (l *Lines) Dials() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.dials
+}
+
+// Keep closes the idle connections to targets other than the given ones.
+func (l *Lines) Keep(alive func(Peer) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p, cs := range l.idle {
+		if !alive(p) {
+			closeAll(cs)
+			delete(l.idle, p)
+		}
+	}
+}
+
+// Close closes the idle connections; those in use are closed after their
+// answers.
+func (l *Lines) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	for _, cs := range l.idle {
+		closeAll(cs)
+	}
+	l.idle = nil
+	return nil
+}
+
+func closeAll(cs []*conn) {
+	for _, c := range cs {
+		_ = c.Close()
+	}
+}
+
+// Do sends a request and waits for its answer until its end or the end of c.
+// It returns ErrNotSent or ErrNoAnswer.
+func (l *Lines) Do(c context.Context, p Peer, r *Request) (*Answer, error) {
+	k, err := l.get(c, p)
+	if err != nil {
+		return nil, errors.Mark(err, ErrNotSent)
+	}
+	_ = k.SetDeadline(r.End)
+	stop := context.AfterFunc(c, func() { _ = k.SetDeadline(time.Unix(1, 0)) })
+	a, reuse, err := k.exchange(p, r)
+	if !stop() {
+		reuse = false
+	}
+	if err != nil || !reuse {
+		_ = k.Close()
+	} else {
+		l.put(p, k)
+	}
+	if err != nil {
+		return nil, errors.Mark(err, ErrNoAnswer)
+	}
+	return a, nil
+}
+
+func (l *Lines) get(c context.Context, p Peer) (*conn, error) {
+	now := time.Now()
+	for {
+		l.mu.Lock()
+		cs := l.idle[p]
+		if len(cs) == 0 {
+			l.dials++
+			l.mu.Unlock()
+			return dial(c, p.Address)
+		}
+		k := cs[len(cs)-1]
+		l.idle[p] = cs[:len(cs)-1]
+		l.mu.Unlock()
+		if now.Before(k.until) && k.quiet() {
+			return k, nil
+		}
+		_ = k.Close()
+	}
+}
+
+func (l *Lines) put(p Peer, k *conn) {
+	_ = k.SetDeadline(time.Time{})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		_ = k.Close()
+		return
+	}
+	l.idle[p] = append(l.idle[p], k)
+}
+
+func dial(c context.Context, a netip.AddrPort) (*conn, error) {
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: Control}
+	n, err := d.DialContext(c, "tcp", a.String())
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: n, r: bufio.NewReader(n)}, nil
+}
+
+// tcpUserTimeout is TCP_USER_TIMEOUT of Linux.
+const tcpUserTimeout = 0x12
+
+// Control bounds the time for which a connection waits for acknowledgements.
+func Control(_, _ string, r syscall.RawConn) error {
+	var err error
+	if e := r.Control(func(fd uintptr) {
+		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
+	}); e != nil {
+		return e
+	}
+	return err
+}
+
+// quiet reports whether an idle connection is open and holds no bytes: a
+// target may have closed it, or sent more than its answer.
+func (k *conn) quiet() bool {
+	if k.r.Buffered() > 0 {
+		return false
+	}
+	s, ok := k.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, e := syscall.Read(int(fd), b[:])
+		quiet = e == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// exchange writes a request and reads its answer. It reports whether the
+// connection can be used again.
+func (k *conn) exchange(p Peer, r *Request) (*Answer, bool, error) {
+	if _, err := k.Write(r.encode(p)); err != nil {
+		return nil, false, errors.Wrap(err, "write request")
+	}
+	for range maxStrays {
+		a, reuse, err := k.read(r)
+		if err != nil {
+			return nil, false, err
+		}
+		if id := a.Header.Get(platform.HeaderAttempt); id == r.Attempt || id == "" && a.NotRun {
+			return a, reuse && k.r.Buffered() == 0, nil
+		} else if id == "" || !reuse {
+			return nil, false, errors.Newf("answer with status %d belongs to attempt %q", a.Status, id)
+		}
+	}
+	return nil, false, errors.New("too many answers to other requests")
+}
+
+// read reads one answer with its body.
+func (k *conn) read(r *Request) (*Answer, bool, error) {
+	q := &http.Request{Method: r.Method}
+	var w *http.Response
+	for {
+		var err error
+		if w, err = http.ReadResponse(k.r, q); err != nil {
+			return nil, false, errors.Wrap(err, "read answer")
+		}
+		if w.StatusCode >= http.StatusOK {
+			break
+		}
+	}
+	defer w.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(w.Body, maxBody+1))
+	if err != nil {
+		return nil, false, errors.Wrap(err, "read body")
+	}
+	if len(b) > maxBody {
+		return nil, false, errors.Newf("body of more than %d bytes", maxBody)
+	}
+	k.until = time.Now().Add(idleTime(w.Header))
+	a := &Answer{Status: w.StatusCode, Header: w.Header, Body: b}
+	a.NotRun = w.Header.Get(platform.HeaderNotRun) != "" || w.StatusCode == http.StatusMisdirectedRequest
+	return a, !w.Close, nil
+}
+
+// idleTime returns how long a connection may be idle by the Keep-Alive header.
+func idleTime(h http.Header) time.Duration {
+	for _, f := range strings.Split(h.Get("Keep-Alive"), ",") {
+		if v, ok := strings.CutPrefix(strings.TrimSpace(f), "timeout="); ok {
+			if n, err := strconv.Atoi(v); err == nil {
+				return min(idleLimit, max(time.Duration(n)*time.Second-idleMargin, 0))
+			}
+		}
+	}
+	return idleLimit
+}
+
+func (r *Request) encode(p Peer) []byte {
+	var b bytes.Buffer
+	b.Grow(512 + len(r.Body))
+	field := func(name, value string) {
+		b.WriteString(name)
+		b.WriteString(": ")
+		b.WriteString(value)
+		b.WriteString("\r\n")
+	}
+	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\n")
+	field("Host", r.Host)
+	for _, h := range r.Headers {
+		switch http.CanonicalHeaderKey(h.Name) {
+		case platform.HeaderAttempt, platform.HeaderDeadline, platform.HeaderTarget, "Content-Length":
+		default:
+			field(h.Name, h.Value)
+		}
+	}
+	field(platform.HeaderAttempt, r.Attempt)
+	field(platform.HeaderDeadline, strconv.FormatInt(max(time.Until(r.End).Milliseconds(), 1), 10))
+	field(platform.HeaderTarget, p.ID)
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead && r.Method != http.MethodDelete {
+		field("Content-Length", strconv.Itoa(len(r.Body)))
+	}
+	b.WriteString("\r\n")
+	b.Write(r.Body)
+	return b.Bytes()
+}
--- /dev/null
+++ b/internal/gate/router/serve.go
@@ -0,0 +1,181 @@
+// Package router runs an instance on the users' platform.
+package router
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dandelionrock.example/dandelionrock/internal/edge"
+	"dandelionrock.example/dandelionrock/internal/gate/entry"
+	"dandelionrock.example/dandelionrock/internal/gate/group"
+	"dandelionrock.example/dandelionrock/internal/gate/keep"
+	"dandelionrock.example/dandelionrock/internal/gate/line"
+	"dandelionrock.example/dandelionrock/internal/plan/budget"
+	"dandelionrock.example/dandelionrock/internal/plan/keys"
+	"dandelionrock.example/dandelionrock/internal/relay"
+	"dandelionrock.example/dandelionrock/internal/state/alive"
+	"dandelionrock.example/dandelionrock/internal/state/spread"
+	"dandelionrock.example/dandelionrock/peer"
+	"dandelionrock.example/dandelionrock/platform"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+)
+
+const (
+	// closeDelay is the time for which a leaving instance still takes requests:
+	// the load balancer asks once a second and believes the second miss.
+	closeDelay = 3200 * time.Millisecond
+	// closeReserve is kept of the grace period for the end of the process.
+	closeReserve = 400 * time.Millisecond
+	// memoryShare is the part of the memory limit that the heap may use.
+	memoryShare = 0.6
+	// keepIdle and keepInterval find connections to other instances that have
+	// gone silent.
+	keepIdle     = 2 * time.Second
+	keepInterval = 500 * time.Millisecond
+	keepCount    = 3
+)
+
+// Instance is a running instance.
+type Instance struct {
+	settings *platform.Settings
+	self     peer.Instance
+	log      zerolog.Logger
+
+	store   *platform.Store
+	granter *platform.Granter
+	pool    *relay.Pool
+	server  *relay.Server
+	alive   *alive.Set
+	spread  *spread.Spread
+	owners  *keys.Owners
+	lines   *line.Lines
+	homes   *group.Homes
+	entry   *entry.Entry
+	client  *khttp.Server
+	ready   *http.Server
+	leaving atomic.Bool
+
+	mu      sync.Mutex
+	keepers map[string]*keep.Keeper
+	// suspected holds since when instances are suspected.
+	suspected map[string]time.Time
+	group     sync.WaitGroup
+	cancel    context.CancelFunc
+}
+
+// Run runs an instance until c ends, then finishes its requests.
+func Run(c context.Context, s *platform.Settings, l zerolog.Logger) error {
+	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare))
+	n := build(s, l.With().Str("instance", s.Instance).Logger())
+	if err := n.start(); err != nil {
+		return err
+	}
+	<-c.Done()
+	n.leave()
+	return n.close()
+}
+
+func build(s *platform.Settings, l zerolog.Logger) *Instance {
+	n := &Instance{settings: s, log: l, keepers: map[string]*keep.Keeper{}, suspected: map[string]time.Time{}}
+	n.self.ID, n.self.Incarnation, n.self.RPCAddress = s.Instance, uuid.NewString(), s.Peer.String()
+	n.self.Region, n.self.FailureDomain = s.Region, s.FailureDomain
+	n.store, n.granter = platform.NewStore(s.Store.String()), platform.NewGranter()
+	d := &net.Dialer{Control: line.Control, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepIdle, Interval: keepInterval, Count: keepCount}}
+	o := relay.Options{Dial: func(c context.Context, a string) (net.Conn, error) { return d.DialContext(c, "tcp", a) }}
+	n.pool, n.server = relay.NewPool(o), relay.NewServer(o)
+	n.alive = alive.New(s.Instance)
+	n.spread = spread.New(n.self, n.store, n.pool, n.alive, l)
+	n.owners = &keys.Owners{}
+	n.lines = line.New()
+	n.homes = group.New(n.spread, n.lines, l)
+	n.entry = entry.New(entry.Options{
+		Self: n.self, Views: n.spread, Homes: n.homes, Pool: n.pool, Alive: n.alive, Owners: n.owners, Regions: s.Regions,
+		Bound: budget.Bound{Ratio: s.RetryRatio, Window: s.RetryWindow, Allowance: s.RetryAllowance}, Log: l, Leaving: n.leaving.Load,
+	})
+	return n
+}
+
+func (n *Instance) start() error {
+	if err := n.server.RegisterName("Gate", &gate{n}); err != nil {
+		return err
+	}
+	if err := n.server.RegisterName("Spread", n.spread); err != nil {
+		return err
+	}
+	p, err := net.Listen("tcp", n.settings.Peer.String())
+	if err != nil {
+		return err
+	}
+	f, err := net.Listen("tcp", n.settings.Client.String())
+	if err != nil {
+		return err
+	}
+	r, err := net.Listen("tcp", n.settings.Ready.String())
+	if err != nil {
+		return err
+	}
+	c, stop := context.WithCancel(context.Background())
+	n.cancel = stop
+	n.client = edge.NewServer(f, n.entry)
+	n.ready = &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: time.Second}
+	n.group.Go(func() { n.report("rpc", n.server.Serve(p)) })
+	n.group.Go(func() { n.report("client", n.client.Start(c)) })
+	n.group.Go(func() { n.report("ready", n.ready.Serve(r)) })
+	n.spread.Start()
+	n.group.Go(func() { n.register(c) })
+	n.group.Go(func() { n.follow(c) })
+	n.group.Go(func() { n.probe(c) })
+	n.group.Go(func() { n.reportLoads(c) })
+	n.log.Info().Str("event", "started").Str("incarnation", n.self.Incarnation).Str("failure-domain", n.self.FailureDomain).Msg("")
+	return nil
+}
+
+// report logs the end of a server.
+func (n *Instance) report(name string, err error) {
+	if err != nil && err != http.ErrServerClosed {
+		n.log.Error().Str("event", "server-ended").Str("server", name).Err(err).Msg("")
+	}
+}
+
+// serveReady answers the load balancer.
+func (n *Instance) serveReady(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != platform.ReadyPath {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if n.leaving.Load() || n.spread.View().Desired == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// leave lets the load balancer and the other instances turn away.
+func (n *Instance) leave() {
+	n.log.Info().Str("event", "leaving").Msg("")
+	begin := time.Now()
+	n.leaving.Store(true)
+	n.deregister()
+	time.Sleep(closeDelay - time.Since(begin))
+	c, stop := context.WithDeadline(context.Background(), begin.Add(n.settings.Grace-closeReserve))
+	defer stop()
+	if err := n.client.Stop(c); err != nil {
+		n.log.Warn().Str("event", "requests-cut").Err(err).Msg("")
+	}
+	for n.homes.Busy() > 0 && c.Err() == nil {
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// close ends everything else. Calls that hang don't hold it up: the process
+// ends after it.
+func (n *Instance) close() error {
+	n.cancel()
+	n.log.Info().Str("event", "stopped").Int("homes-busy", n.homes.Busy()).Msg("")
+	return nil
+}
--- /dev/null
+++ b/internal/state/spread/spread.go
@@ -0,0 +1,413 @@
+// Package spread keeps an instance's copies of the store's tables fresh. In
+// each region one instance reads the store, and the others read its copies;
+// when a copy becomes stale, the next instance in the order reads the store.
+package spread
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dandelionrock.example/dandelionrock/clock"
+	"dandelionrock.example/dandelionrock/internal/relay"
+	"dandelionrock.example/dandelionrock/internal/state/alive"
+	"dandelionrock.example/dandelionrock/internal/state/mirror"
+	"dandelionrock.example/dandelionrock/internal/state/view"
+	"dandelionrock.example/dandelionrock/peer"
+	"dandelionrock.example/dandelionrock/platform"
+	"dandelionrock.example/dandelionrock/schema"
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+)
+
+const (
+	// pollInterval is the time between reads of the targets' table. Reading
+	// and passing on must end within the bound on draining, 2.5 s.
+	pollInterval = 700 * time.Millisecond
+	// pullInterval is the time between reads of another instance's copies.
+	pullInterval = 600 * time.Millisecond
+	// watchDesired and watchOwn bound how long a watch waits for a change, and
+	// thereby how long a silent connection goes unnoticed. The configuration
+	// must be in force within 2.5 s.
+	watchDesired = 1500 * time.Millisecond
+	watchOwn     = 3 * time.Second
+	// staleAfter is the age of a copy after which it is not relied on; it
+	// exceeds pollInterval by a slow call.
+	staleAfter = 1300 * time.Millisecond
+	// rankDelay spreads the instances that step in for a reader.
+	rankDelay = 600 * time.Millisecond
+	// idleCheck is the time after which an instance that doesn't read the store
+	// checks again whether it should.
+	idleCheck = 200 * time.Millisecond
+	// minBackOff and maxBackOff bound the pause after a failed read.
+	minBackOff = 200 * time.Millisecond
+	maxBackOff = time.Second
+	// outageAfter is the time without an answer after which the store counts as
+	// having been away, and returnTime the time in which targets whose rows
+	// lapsed meanwhile register again.
+	outageAfter = time.Second
+	returnTime  = 2200 * time.Millisecond
+	// pullTimeout bounds one read of another instance's copies.
+	pullTimeout = 500 * time.Millisecond
+	// pullSources is how many instances of a region are asked in turn.
+	pullSources = 3
+)
+
+// Tables in the order of SyncRequest.
+const (
+	desired = iota
+	targets
+	own
+	tables
+)
+
+var names = [tables]platform.Table{platform.TableDesired, platform.TableTargets, platform.TableOwn}
+
+// Spread holds the copies. Use New.
+type Spread struct {
+	self  peer.Instance
+	store *platform.Store
+	pool  *relay.Pool
+	alive *alive.Set
+	log   zerolog.Logger
+
+	view atomic.Pointer[view.View]
+	// changed is closed and replaced when the view changes.
+	changed atomic.Pointer[chan struct{}]
+
+	mu     sync.Mutex
+	copies [tables]*mirror.Table
+	source int
+	group  sync.WaitGroup
+	cancel context.CancelFunc
+}
+
+// New returns a Spread that has read nothing.
+func New(self peer.Instance, s *platform.Store, p *relay.Pool, a *alive.Set, l zerolog.Logger) *Spread {
+	d := &Spread{self: self, store: s, pool: p, alive: a, log: l}
+	d.copies = [tables]*mirror.Table{mirror.New(bytes.Equal), mirror.New(sameTarget), mirror.New(bytes.Equal)}
+	d.view.Store(view.Empty())
+	c := make(chan struct{})
+	d.changed.Store(&c)
+	return d
+}
+
+// sameTarget reports whether two rows of a target differ by their heartbeats
+// only.
+func sameTarget(a, b []byte) bool {
+	x, errX := platform.DecodeTarget("-", a)
+	y, errY := platform.DecodeTarget("-", b)
+	return errX == nil && errY == nil && x == y || errX != nil && errY != nil
+}
+
+// Start begins reading.
+func (s *Spread) Start() {
+	c, stop := context.WithCancel(context.Background())
+	s.cancel = stop
+	for i := range tables {
+		s.group.Go(func() { s.read(c, i) })
+	}
+	s.group.Go(func() { s.pull(c) })
+}
+
+// Close stops reading and waits for its end.
+func (s *Spread) Close() error {
+	s.cancel()
+	s.group.Wait()
+	return nil
+}
+
+// View returns the present snapshot.
+func (s *Spread) View() *view.View { return s.view.Load() }
+
+// Changed returns a channel that is closed at the next change of the view.
+func (s *Spread) Changed() <-chan struct{} { return *s.changed.Load() }
+
+// Age returns the age of the copy of the targets.
+func (s *Spread) Age() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.copies[targets].Age(clock.Boot())
+}
+
+// OwnConfirmed returns the time at which the copy of the own table was known to
+// be complete.
+func (s *Spread) OwnConfirmed() clock.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := clock.Boot()
+	return now.Add(-s.copies[own].Age(now))
+}
+
+// order returns the live instances of the region in the order in which they
+// read the store.
+func (s *Spread) order() []peer.Instance {
+	n := s.alive.Nearest(s.View(), "reader/"+s.self.Region, peer.Place{Region: s.self.Region})
+	for i, v := range n {
+		if v.Region != s.self.Region {
+			return n[:i]
+		}
+	}
+	return n
+}
+
+func (s *Spread) rank() int {
+	for i, v := range s.order() {
+		if v.ID == s.self.ID {
+			return i
+		}
+	}
+	return 0
+}
+
+// reads reports whether this instance reads a table from the store.
+func (s *Spread) reads(table int) bool {
+	r := s.rank()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limit := staleAfter + time.Duration(r)*rankDelay
+	if table != targets {
+		limit += watchOwn
+	}
+	return r == 0 || s.copies[table].Age(clock.Boot()) > limit
+}
+
+// read keeps one table fresh from the store while this instance shall.
+func (s *Spread) read(c context.Context, table int) {
+	r := reader{spread: s, table: table, last: clock.Boot()}
+	for c.Err() == nil {
+		if !s.reads(table) {
+			r.last = clock.Boot()
+			sleep(c, idleCheck)
+			continue
+		}
+		sleep(c, r.once(c))
+	}
+}
+
+func sleep(c context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-c.Done():
+	}
+}
+
+// reader reads one table from the store.
+type reader struct {
+	spread *Spread
+	table  int
+	// last is the time of the last answer of the store.
+	last     clock.Time
+	failures int
+	// whole asks for the whole table; returned is when an outage ended.
+	whole    bool
+	returned clock.Time
+}
+
+// once makes one read and returns the pause until the next.
+func (r *reader) once(c context.Context) time.Duration {
+	s := r.spread
+	s.mu.Lock()
+	v, known := s.copies[r.table].Version(), s.copies[r.table].Known()
+	s.mu.Unlock()
+	now := clock.Boot()
+	whole := r.whole || !known
+	var rows platform.Rows
+	var err error
+	if whole {
+		rows, err = s.store.List(c, names[r.table], "")
+	} else {
+		rows, err = s.store.Changes(c, names[r.table], v, r.wait())
+	}
+	switch {
+	case c.Err() != nil:
+		return 0
+	case errors.Is(err, platform.ErrForgotten):
+		s.log.Warn().Str("event", "store-history-lost").Str("table", string(names[r.table])).Uint64("version", uint64(v)).Msg("")
+		r.whole = true
+		return 0
+	case err != nil:
+		return r.failed(now, err)
+	}
+	r.answered(now)
+	s.apply(now, r.table, rows, whole, r.holdsBack(now))
+	if whole && !r.holdsBack(now) {
+		r.whole = false
+	}
+	return r.pause()
+}
+
+// wait returns how long a read waits for a change.
+func (r *reader) wait() time.Duration {
+	switch r.table {
+	case desired:
+		return watchDesired
+	case own:
+		return watchOwn
+	}
+	return 0
+}
+
+// pause spaces the reads; watches that return at once must not follow each
+// other without end.
+func (r *reader) pause() time.Duration {
+	if r.table == targets {
+		return pollInterval
+	}
+	return idleCheck
+}
+
+// holdsBack reports whether removals are not believed yet: the rows of targets
+// that live may have lapsed while the store was away.
+func (r *reader) holdsBack(now clock.Time) bool {
+	return r.table == targets && r.returned != 0 && now.Sub(r.returned) < returnTime
+}
+
+func (r *reader) answered(now clock.Time) {
+	if r.failures > 0 {
+		r.spread.log.Info().Str("event", "store-regained").Str("table", string(names[r.table])).Dur("away", now.Sub(r.last)).Msg("")
+	}
+	if r.table == targets && now.Sub(r.last) > outageAfter+pollInterval {
+		r.returned, r.whole = now, true
+	}
+	r.failures, r.last = 0, now
+}
+
+func (r *reader) failed(now clock.Time, err error) time.Duration {
+	if r.failures == 0 {
+		r.spread.log.Warn().Str("event", "store-lost").Str("table", string(names[r.table])).Err(err).Dur("since", now.Sub(r.last)).Msg("")
+	}
+	r.failures++
+	d := min(minBackOff<<min(r.failures-1, 4), maxBackOff)
+	return d/2 + rand.N(d)
+}
+
+// apply adds an answer of the store to a copy.
+func (s *Spread) apply(asOf clock.Time, table int, r platform.Rows, whole, holdBack bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var changes []mirror.Change
+	if holdBack {
+		changes = s.copies[table].Add(r)
+		s.copies[table].Refresh(asOf)
+	} else {
+		changes = s.copies[table].Apply(asOf, r, whole)
+	}
+	s.publish(table, changes)
+}
+
+// publish replaces the view; the caller holds mu.
+func (s *Spread) publish(table int, changes []mirror.Change) {
+	if len(changes) == 0 {
+		return
+	}
+	v := s.view.Load()
+	var err error
+	switch table {
+	case desired:
+		for _, c := range changes {
+			n, fault := v.WithDesired(c)
+			v, err = n, errors.CombineErrors(err, fault)
+		}
+	case targets:
+		v, err = v.WithTargets(changes)
+	case own:
+		v, err = v.WithOwn(changes)
+	}
+	if err != nil {
+		s.log.Warn().Str("event", "row-ignored").Str("table", string(names[table])).Err(err).Msg("")
+	}
+	for _, c := range changes {
+		s.log.Debug().Str("event", "row-changed").Str("table", string(names[table])).Str("key", c.Key).Uint64("version", uint64(c.Version)).Bool("removed", c.Value == nil).Msg("")
+	}
+	s.view.Store(v)
+	n := make(chan struct{})
+	close(*s.changed.Swap(&n))
+}
+
+// pull reads the copies of another instance of the region.
+func (s *Spread) pull(c context.Context) {
+	for c.Err() == nil {
+		if i, ok := s.pickSource(); ok {
+			s.pullFrom(c, i)
+		}
+		sleep(c, pullInterval)
+	}
+}
+
+// pickSource returns the instance to read from: one that precedes this one.
+func (s *Spread) pickSource() (peer.Instance, bool) {
+	n := s.order()
+	r := s.rank()
+	if r == 0 || len(n) == 0 {
+		return peer.Instance{}, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.copies[targets].Age(clock.Boot()) > staleAfter+pullInterval {
+		s.source++
+	}
+	return n[s.source%min(r, pullSources)], true
+}
+
+func (s *Spread) pullFrom(c context.Context, i peer.Instance) {
+	s.mu.Lock()
+	q := &schema.SyncRequest{}
+	for _, t := range s.copies {
+		q.Versions = append(q.Versions, uint64(t.Version()))
+	}
+	s.mu.Unlock()
+	c, stop := context.WithTimeout(c, pullTimeout)
+	defer stop()
+	sent := clock.Boot()
+	var a schema.SyncReply
+	if err := s.pool.Call(c, i.RPCAddress, "Spread.Sync", q, &a); err != nil {
+		s.suspect(c, i, err)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for n, m := range a.Tables[:min(len(a.Tables), tables)] {
+		s.publish(n, s.copies[n].Merge(sent, m))
+	}
+}
+
+func (s *Spread) suspect(c context.Context, i peer.Instance, err error) {
+	if errors.Is(c.Err(), context.Canceled) {
+		return
+	}
+	if s.alive.Suspect(i) {
+		s.log.Warn().Str("event", "instance-suspected").Str("instance", i.ID).Err(err).Str("call", "sync").Msg("")
+	}
+}
+
+// Sync answers another instance that reads the copies of this one.
+func (s *Spread) Sync(q *schema.SyncRequest, a *schema.SyncReply) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := clock.Boot()
+	for n, t := range s.copies {
+		var v platform.Version
+		if n < len(q.Versions) {
+			v = platform.Version(q.Versions[n])
+		}
+		a.Tables = append(a.Tables, t.Since(now, v))
+	}
+	return nil
+}
+
+// Learn adds a row of the own table that this instance has just written, or has
+// been told of.
+func (s *Spread) Learn(key string, value []byte, v platform.Version) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.publish(own, s.copies[own].Add(platform.Rows{Rows: []platform.Row{{Key: key, Value: value, Version: v}}}))
+}
--- a/peer/choice.go
+++ b/peer/choice.go
@@ -23,6 +23,27 @@
 // Within these groups, the order follows weighted rendezvous hashing. It
 // depends only on the ids, places and weights of the instances.
 func Successor(upstream string, at Place, live []Instance) []Instance {
+	return ranked(upstream, live, func(i Instance) int { return group(at, i) })
+}
+
+// Nearest returns the live instances in the order in which they serve the
+// target of the given name: those in its failure domain first, then those in
+// its region, then the others, each by weighted rendezvous hashing.
+func Nearest(name string, at Place, live []Instance) []Instance {
+	return ranked(name, live, func(i Instance) int {
+		switch {
+		case i.FailureDomain == at.FailureDomain:
+			return 0
+		case i.Region == at.Region:
+			return 1
+		default:
+			return 2
+		}
+	})
+}
+
+// ranked orders instances by group, then by score.
+func ranked(name string, live []Instance, group func(Instance) int) []Instance {
 	type candidate struct {
 		Instance
 		group int
@@ -30,7 +51,7 @@
 	}
 	c := make([]candidate, len(live))
 	for i, v := range live {
-		c[i] = candidate{v, group(at, v), score(upstream, v)}
+		c[i] = candidate{v, group(v), score(name, v)}
 	}
 	slices.SortFunc(c, func(a, b candidate) int {
 		return cmp.Or(a.group-b.group, cmp.Compare(b.score, a.score), cmp.Compare(a.ID, b.ID))
