Let two instances of each region read the store

Now two instances of a region read, the others ask them in turn, and the age of the targets' copy, which is read every second, decides for all tables whether another one steps in.

--- a/internal/state/spread/spread.go
+++ b/internal/state/spread/spread.go
@@ -24,21 +24,31 @@
 )
 
 const (
-	// pollInterval is the time between reads of the targets' table. Reading
-	// and passing on must end within the bound on draining, 2.5 s.
-	pollInterval = 700 * time.Millisecond
-	// pullInterval is the time between reads of another instance's copies.
-	pullInterval = 600 * time.Millisecond
+	// readers is the number of instances of a region that read the store, so
+	// that the loss of one of them delays nothing.
+	readers = 2
+	// pollInterval is the time between a reader's reads of the targets' table.
+	// Reading and passing on must end within the bound on draining, 2.5 s.
+	pollInterval = time.Second
+	// pullInterval is the time between reads of another instance's copies; two
+	// readers are asked in turn.
+	pullInterval = 400 * time.Millisecond
 	// watchDesired and watchOwn bound how long a watch waits for a change, and
-	// thereby how long a silent connection goes unnoticed. The configuration
-	// must be in force within 2.5 s.
-	watchDesired = 1500 * time.Millisecond
-	watchOwn     = 3 * time.Second
-	// staleAfter is the age of a copy after which it is not relied on; it
-	// exceeds pollInterval by a slow call.
-	staleAfter = 1300 * time.Millisecond
-	// rankDelay spreads the instances that step in for a reader.
-	rankDelay = 600 * time.Millisecond
+	// thereby how long a silent connection goes unnoticed.
+	watchDesired = 3 * time.Second
+	watchOwn     = 5 * time.Second
+	// ownPause spaces the reads of the own table, whose urgent changes the
+	// instances tell each other.
+	ownPause = time.Second
+	// desiredPause spaces the reads of a configuration that changes often.
+	desiredPause = 200 * time.Millisecond
+	// staleAfter is the age of the targets' copy after which an instance that is
+	// no reader becomes one; it exceeds pollInterval and two pulls.
+	staleAfter = 1900 * time.Millisecond
+	// rankDelay spreads the instances that step in for the readers.
+	rankDelay = 400 * time.Millisecond
+	// stepInTime is how long they then read.
+	stepInTime = 5 * time.Second
 	// idleCheck is the time after which an instance that doesn't read the store
 	// checks again whether it should.
 	idleCheck = 200 * time.Millisecond
@@ -52,8 +62,6 @@
 	returnTime  = 2200 * time.Millisecond
 	// pullTimeout bounds one read of another instance's copies.
 	pullTimeout = 500 * time.Millisecond
-	// pullSources is how many instances of a region are asked in turn.
-	pullSources = 3
 )
 
 // Tables in the order of SyncRequest.
@@ -80,6 +88,10 @@
 
 	mu     sync.Mutex
 	copies [tables]*mirror.Table
+	// steppedIn is when this instance last stepped in for the readers.
+	steppedIn clock.Time
+
+	// source counts the pulls.
 	source int
 	group  sync.WaitGroup
 	cancel context.CancelFunc
@@ -163,16 +175,25 @@
 	return 0
 }
 
-// reads reports whether this instance reads a table from the store.
+// reads reports whether this instance reads a table from the store. The own
+// table has one reader, the others two. Another instance steps in for a while
+// when its copy of the targets becomes stale.
 func (s *Spread) reads(table int) bool {
 	r := s.rank()
+	n := readers
+	if table == own {
+		n = 1
+	}
+	if r < n {
+		return true
+	}
+	now := clock.Boot()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	limit := staleAfter + time.Duration(r)*rankDelay
-	if table != targets {
-		limit += watchOwn
+	if s.copies[targets].Age(now) > staleAfter+time.Duration(max(r-readers, 0))*rankDelay {
+		s.steppedIn = now
 	}
-	return r == 0 || s.copies[table].Age(clock.Boot()) > limit
+	return s.steppedIn != 0 && now.Sub(s.steppedIn) < stepInTime
 }
 
 // read keeps one table fresh from the store while this instance shall.
@@ -259,10 +280,13 @@
 // pause spaces the reads; watches that return at once must not follow each
 // other without end.
 func (r *reader) pause() time.Duration {
-	if r.table == targets {
+	switch r.table {
+	case targets:
 		return pollInterval
+	case own:
+		return ownPause
 	}
-	return idleCheck
+	return desiredPause
 }
 
 // holdsBack reports whether removals are not believed yet: the rows of targets
@@ -343,19 +367,18 @@
 	}
 }
 
-// pickSource returns the instance to read from: one that precedes this one.
+// pickSource returns the instance to read from: each of the readers in turn.
 func (s *Spread) pickSource() (peer.Instance, bool) {
 	n := s.order()
-	r := s.rank()
-	if r == 0 || len(n) == 0 {
-		return peer.Instance{}, false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.copies[targets].Age(clock.Boot()) > staleAfter+pullInterval {
-		s.source++
+	n = n[:min(readers, len(n))]
+	s.source++
+	for i := range n {
+		v := n[(s.source+i)%len(n)]
+		if v.ID != s.self.ID {
+			return v, true
+		}
 	}
-	return n[s.source%min(r, pullSources)], true
+	return peer.Instance{}, false
 }
 
 func (s *Spread) pullFrom(c context.Context, i peer.Instance) {
