Name the target in grants and releases

Ruled out: two keepers (one held the service throughout).

A grant now names its target; another one answers 421, which also tells that the first has ended, so that its keys move at once.

--- a/internal/gate/keep/grant.go
+++ b/internal/gate/keep/grant.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 
 	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/platform"
@@ -11,7 +10,7 @@
 )
 
 // renewTarget renews the grants of one target, one after the other.
-func (k *Keeper) renewTarget(c context.Context, h *holding, o owner, at netip.AddrPort, rs []*schema.KeyRange) {
+func (k *Keeper) renewTarget(c context.Context, h *holding, o owner, at platform.Run, rs []*schema.KeyRange) {
 	h.calls.Lock()
 	defer h.calls.Unlock()
 	for _, r := range rs {
@@ -46,7 +45,7 @@
 
 // grant sends one grant and records how long it may be in force. The caller
 // holds the target's calls.
-func (k *Keeper) grant(c context.Context, h *holding, at netip.AddrPort, r *schema.KeyRange, handover string) error {
+func (k *Keeper) grant(c context.Context, h *holding, at platform.Run, r *schema.KeyRange, handover string) error {
 	c, stop := context.WithTimeout(c, grantTimeout)
 	defer stop()
 	k.mu.Lock()
@@ -60,6 +59,9 @@
 		h.until = end.Add(drift.Stretch(hold))
 		h.acked = h.acked.Replace(r)
 	}
+	if errors.Is(err, platform.ErrReplaced) {
+		h.ended = true
+	}
 	if errors.Is(err, platform.ErrFenced) {
 		k.fenced = true
 	}
--- a/internal/gate/keep/keep.go
+++ b/internal/gate/keep/keep.go
@@ -118,6 +118,8 @@
 	// this keeper. Until then a late grant of a predecessor, whose fence the
 	// target has not seen exceeded, may follow on a release.
 	acked keys.Ranges
+	// ended is set once the run is known to have ended.
+	ended bool
 	busy  bool
 }
 
@@ -301,14 +303,14 @@
 			continue
 		}
 		k.seen[owner{r.Target, r.Born}] = t
-		if h := k.holding(r); !h.busy && now.Sub(h.renewed) >= renewInterval {
+		if h := k.holding(r); !h.busy && !h.ended && now.Sub(h.renewed) >= renewInterval {
 			due[owner{r.Target, r.Born}] = append(due[owner{r.Target, r.Born}], r)
 		}
 	}
 	for o, rs := range due {
 		h := k.holds[o]
 		h.busy, h.renewed = true, now
-		at := v.Targets[o.id].Address
+		at := platform.Run{ID: o.id, Address: v.Targets[o.id].Address}
 		k.group.Go(func() { k.renewTarget(c, h, o, at, rs) })
 	}
 }
--- a/internal/gate/keep/move.go
+++ b/internal/gate/keep/move.go
@@ -96,7 +96,7 @@
 		return true
 	}
 	h := k.holding(r)
-	return now >= max(h.until, k.predecessorEnd)
+	return h.ended || now >= max(h.until, k.predecessorEnd)
 }
 
 // reachable reports whether it is worth asking the owner of a range to release
@@ -212,13 +212,18 @@
 	}
 	h.calls.Lock()
 	defer h.calls.Unlock()
-	if err := k.raiseFence(c, h, t, r); err != nil {
+	if err := k.raiseFence(c, h, t, r); errors.Is(err, platform.ErrReplaced) {
+		return handover{ok: true}
+	} else if err != nil {
 		k.log.Warn().Str("event", "grant-failed").Str("target", r.Target).Uint64("fence", r.Fence).Uint32("from", r.From).Err(err).Msg("")
 		return handover{}
 	}
 	c, stop := context.WithTimeout(c, releaseTimeout)
 	defer stop()
-	s, err := k.granter.Release(c, t.Address, keysOf(r))
+	s, err := k.granter.Release(c, platform.Run{ID: t.ID, Address: t.Address}, keysOf(r))
+	if errors.Is(err, platform.ErrReplaced) {
+		return handover{ok: true}
+	}
 	if err != nil {
 		k.log.Warn().Str("event", "release-failed").Str("target", r.Target).Uint64("fence", r.Fence).Uint32("from", r.From).Err(err).Msg("")
 		return handover{}
@@ -235,7 +240,7 @@
 	if done {
 		return nil
 	}
-	return k.grant(c, h, t.Address, r, "")
+	return k.grant(c, h, platform.Run{ID: t.ID, Address: t.Address}, r, "")
 }
 
 // grantAll grants ranges to their new owners. Renewals follow up on a grant
@@ -253,7 +258,7 @@
 		g.Go(func() {
 			h.calls.Lock()
 			defer h.calls.Unlock()
-			if err := k.grant(c, h, t.Address, r, handovers[i]); err != nil {
+			if err := k.grant(c, h, platform.Run{ID: t.ID, Address: t.Address}, r, handovers[i]); err != nil {
 				k.log.Warn().Str("event", "grant-failed").Str("target", r.Target).Uint64("fence", r.Fence).Uint32("from", r.From).Err(err).Msg("")
 			}
 		})
