Read the settings again at SIGHUP; settle ambiguous commits

It now reads the settings again, as does a change of the file.

A write is now sent until it is settled, the keys of the move stay paused meanwhile, a keeper without news of the store lets others take over, and a run that the row names takes over from itself.

--- a/cmd/dandelionrock/gateway.go
+++ b/cmd/dandelionrock/gateway.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"dandelionrock.example/dandelionrock/internal/gate/router"
 	"dandelionrock.example/dandelionrock/platform"
@@ -21,5 +23,8 @@
 	l := zerolog.New(os.Stdout).Level(zerolog.InfoLevel).With().Timestamp().Logger()
 	// The transport library's own log lines are not JSON lines.
 	klog.SetLogger(klog.NewStdLogger(io.Discard))
-	return router.Run(c, s, l)
+	h := make(chan os.Signal, 1)
+	signal.Notify(h, syscall.SIGHUP)
+	w := platform.NewWatch(os.Getenv)
+	return router.Run(c, s, router.Options{Log: l, Reload: h, Changed: w.Changed, Read: func() (*platform.Settings, error) { return platform.ReadSettings(os.Getenv) }})
 }
--- a/internal/gate/entry/entry.go
+++ b/internal/gate/entry/entry.go
@@ -48,7 +48,6 @@
 	Owners *keys.Owners
 	// Regions maps failure domains to their regions.
 	Regions map[string]string
-	Bound   budget.Bound
 	Log     zerolog.Logger
 	// Leaving reports whether the instance is shutting down.
 	Leaving func() bool
@@ -62,6 +61,7 @@
 	group sync.WaitGroup
 
 	mu      sync.Mutex
+	bound   budget.Bound
 	budgets map[string]*budget.Budget
 	// turns counts the requests of each route, to divide them by weight.
 	turns map[string]uint64
@@ -80,6 +80,13 @@
 	}
 }
 
+// SetBound changes the bound on repeats.
+func (e *Entry) SetBound(b budget.Bound) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.bound = b
+}
+
 // Close waits for the calls in the background.
 func (e *Entry) Close() error {
 	e.group.Wait()
--- a/internal/gate/entry/request.go
+++ b/internal/gate/entry/request.go
@@ -346,7 +346,7 @@
 	n := len(e.Views.View().Instances)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.budget(service).Repeat(clock.Boot(), e.Bound, n)
+	return e.budget(service).Repeat(clock.Boot(), e.bound, n)
 }
 
 // budget returns the budget of a service; the caller holds mu.
@@ -363,7 +363,7 @@
 	e := q.entry
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.budget(q.service.Name).Request(clock.Boot(), e.Bound)
+	e.budget(q.service.Name).Request(clock.Boot(), e.bound)
 }
 
 // respond writes the answer.
--- a/internal/gate/keep/keep.go
+++ b/internal/gate/keep/keep.go
@@ -77,6 +77,8 @@
 	// keeper.
 	row     *schema.KeyMap
 	version platform.Version
+	// tenure counts the times that this instance became the keeper.
+	tenure int
 	// confirmed is when the call was sent that last showed the row as ours.
 	confirmed clock.Time
 	// holds tells until when each target may hold keys, by its run.
@@ -85,6 +87,8 @@
 	// the ranges that are not renewed meanwhile.
 	moving bool
 	paused map[uint32]bool
+	// writing is the nonce of the write in progress.
+	writing uint64
 	// seen holds the last address of each run of a target.
 	seen map[owner]*platform.Target
 	// fenced is set when a target has seen a higher fence.
@@ -195,6 +199,10 @@
 	if k.row == nil || !known || m.Version < k.version {
 		return
 	}
+	if m.Version > k.version && m.Nonce == k.writing {
+		// A write in progress has landed; its commit will settle it.
+		return
+	}
 	if m.Version > k.version {
 		k.log.Warn().Str("event", "keeper-superseded").Uint64("epoch", k.row.Epoch).Str("by", m.Keeper).Uint64("their-epoch", m.Epoch).Msg("")
 		k.row = nil
@@ -214,10 +222,14 @@
 	return m
 }
 
-// commit writes an assignment. It settles a write without an answer by sending
-// it again: the second succeeds, or the row shows whether the first did.
+// commit writes an assignment. A write without an answer may still be
+// performed. It is sent again until it is settled: it succeeds, or the row shows
+// whether an earlier try did. The error is ErrConflict, or that of c.
 func (k *Keeper) commit(c context.Context, m *schema.KeyMap, expect platform.Version) (platform.Version, clock.Time, error) {
 	m.Nonce = rand.Uint64()
+	k.mu.Lock()
+	k.writing = m.Nonce
+	k.mu.Unlock()
 	b, err := proto.Marshal(m)
 	if err != nil {
 		return 0, 0, errors.Wrap(err, "encode keys")
@@ -227,10 +239,10 @@
 		Expect: []platform.Condition{{Table: platform.TableOwn, Key: key, Version: expect}},
 		Put:    []platform.Row{{Table: platform.TableOwn, Key: key, Value: b}},
 	}
-	for range commitTries {
+	for pause := minCommitPause; c.Err() == nil; pause = min(2*pause, maxCommitPause) {
 		sent := clock.Boot()
-		var r platform.Rows
-		if r, err = k.store.Commit(c, w); err == nil {
+		r, err := k.store.Commit(c, w)
+		if err == nil {
 			k.spread.Learn(key, b, r.Version)
 			return r.Version, sent, nil
 		}
@@ -238,16 +250,15 @@
 			return k.settle(r, m, b, sent)
 		}
 		k.log.Warn().Str("event", "commit-failed").Uint64("epoch", m.Epoch).Err(err).Msg("")
-		sleep(c, commitPause)
+		sleep(c, pause)
 	}
-	return 0, 0, err
+	return 0, 0, c.Err()
 }
 
+// minCommitPause and maxCommitPause bound the time between two tries of a write.
 const (
-	// commitTries is how often a write without an answer is sent.
-	commitTries = 4
-	// commitPause is the time between two of them.
-	commitPause = 150 * time.Millisecond
+	minCommitPause = 150 * time.Millisecond
+	maxCommitPause = 600 * time.Millisecond
 )
 
 // settle decides whether a conflict is due to an earlier try of the same write.
--- a/internal/gate/keep/move.go
+++ b/internal/gate/keep/move.go
@@ -50,7 +50,7 @@
 	}
 	moves := k.ripe(now, v, keys.Rehome(k.row.Ranges, m, &k.load))
 	why := "owner-left"
-	if len(moves) == 0 && now.Sub(k.rebalanced) >= rebalanceInterval && keys.Owned(k.row.Ranges, m) {
+	if len(moves) == 0 && now.Sub(k.rebalanced) >= rebalanceInterval && k.spread.Age() < freshAge && keys.Owned(k.row.Ranges, m) {
 		k.rebalanced = now
 		k.decay(now)
 		moves, why = keys.Rebalance(k.row.Ranges, m, &k.load, maxMoves), "rebalance"
@@ -59,13 +59,36 @@
 		return
 	}
 	k.moving = true
-	row, version := proto.CloneOf(k.row), k.version
+	t := tenure{k.tenure, proto.CloneOf(k.row), k.version}
 	for _, n := range moves {
-		k.pause(row.Ranges, n.Range)
+		k.pause(t.row.Ranges, n.Range)
 	}
-	k.group.Go(func() { k.moveAll(c, v, row, version, moves, why) })
+	k.group.Go(func() { k.moveAll(c, v, t, moves, why) })
 }
 
+// tenure is the state of the assignment at the begin of a change.
+type tenure struct {
+	number  int
+	row     *schema.KeyMap
+	version platform.Version
+}
+
+// adopt makes a committed change the state of the keeper, unless it is no
+// longer the one that began it.
+func (k *Keeper) adopt(t tenure, version platform.Version, sent clock.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.row == nil || k.tenure != t.number {
+		return false
+	}
+	k.row, k.version, k.confirmed = t.row, version, max(k.confirmed, sent)
+	return true
+}
+
+// freshAge is the age of the copies up to which the store is taken to answer:
+// keys are not moved for balance when a commit may take long.
+const freshAge = 2 * time.Second
+
 // pause stops the renewals of the ranges that overlap with r; the caller holds
 // mu.
 func (k *Keeper) pause(rs []*schema.KeyRange, r *schema.KeyRange) {
@@ -122,9 +145,9 @@
 }
 
 // moveAll releases keys, commits their new owners and grants the keys to them.
-func (k *Keeper) moveAll(c context.Context, v *view.View, row *schema.KeyMap, version platform.Version, moves []keys.Move, why string) {
-	defer k.moved()
-	begin := clock.Boot()
+func (k *Keeper) moveAll(c context.Context, v *view.View, t tenure, moves []keys.Move, why string) {
+	defer k.moved(t.number)
+	begin, row := clock.Boot(), t.row
 	var ranges []*schema.KeyRange
 	for _, m := range moves {
 		ranges = append(ranges, m.Range)
@@ -144,18 +167,11 @@
 		return
 	}
 	row.Ranges = keys.Ranges(row.Ranges).Replace(changed...)
-	n, sent, err := k.commit(c, row, version)
-	if err != nil {
+	n, sent, err := k.commit(c, row, t.version)
+	if err != nil || !k.adopt(t, n, sent) {
 		k.log.Warn().Str("event", "move-failed").Uint64("epoch", row.Epoch).Str("why", why).Err(err).Msg("")
 		return
 	}
-	k.mu.Lock()
-	if k.row == nil {
-		k.mu.Unlock()
-		return
-	}
-	k.row, k.version, k.confirmed = row, n, max(k.confirmed, sent)
-	k.mu.Unlock()
 	k.grantAll(c, v, changed, passed)
 	k.owners.Announce(clock.Boot(), &schema.KeysRequest{Service: k.service, Epoch: row.Epoch, Ranges: changed})
 	k.announce(c, v, &schema.KeysRequest{Service: k.service, Epoch: row.Epoch, Ranges: changed})
@@ -172,11 +188,13 @@
 }
 
 // moved ends a series of moves.
-func (k *Keeper) moved() {
+func (k *Keeper) moved(tenure int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.moving = false
-	clear(k.paused)
+	if k.tenure == tenure {
+		k.moving = false
+		clear(k.paused)
+	}
 }
 
 // handover is the result of a release: ok means that the owner holds the keys
@@ -270,27 +288,24 @@
 // caller holds mu.
 func (k *Keeper) refence(c context.Context) {
 	k.moving, k.fenced = true, false
-	row, version := proto.CloneOf(k.row), k.version
+	t := tenure{k.tenure, proto.CloneOf(k.row), k.version}
 	k.group.Go(func() {
-		defer k.moved()
-		row.Epoch++
-		row.Ranges = keys.Ranges(row.Ranges).Refence(row.Epoch)
-		n, sent, err := k.commit(c, row, version)
-		if err != nil {
-			k.log.Warn().Str("event", "refence-failed").Uint64("epoch", row.Epoch).Err(err).Msg("")
+		defer k.moved(t.number)
+		t.row.Epoch++
+		t.row.Ranges = keys.Ranges(t.row.Ranges).Refence(t.row.Epoch)
+		n, sent, err := k.commit(c, t.row, t.version)
+		if err != nil || !k.adopt(t, n, sent) {
+			k.log.Warn().Str("event", "refence-failed").Uint64("epoch", t.row.Epoch).Err(err).Msg("")
 			return
 		}
-		k.mu.Lock()
-		defer k.mu.Unlock()
-		if k.row != nil {
-			k.row, k.version, k.confirmed = row, n, max(k.confirmed, sent)
-			k.renewNow()
-		}
+		k.renewNow()
 	})
 }
 
-// renewNow makes all grants due; the caller holds mu.
+// renewNow makes all grants due.
 func (k *Keeper) renewNow() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	for _, h := range k.holds {
 		h.renewed = 0
 	}
--- a/internal/gate/keep/watch.go
+++ b/internal/gate/keep/watch.go
@@ -74,6 +74,11 @@
 	if w.ended == 0 && v.Incarnations[m.Keeper] != m.Incarnation {
 		w.ended = now
 	}
+	if m.Keeper == k.self.ID && m.Incarnation == k.self.Incarnation {
+		// The row names this run, which has stepped down since.
+		k.takeOver(c, now, v, m)
+		return
+	}
 	if w.lost(now, r) {
 		k.takeOver(c, now, v, m)
 		return
@@ -138,7 +143,7 @@
 			w.silent = now
 		}
 		k.log.Debug().Str("event", "keeper-silent").Str("instance", i.ID).Err(err).Msg("")
-	case a.Incarnation != w.incarnation || a.Leaving:
+	case a.Incarnation != w.incarnation || a.Leaving && k.spread.Age() < freshAge:
 		w.ended = now
 	default:
 		w.silent = 0
@@ -174,6 +179,7 @@
 		return
 	}
 	now := clock.Boot()
+	k.tenure++
 	k.row, k.version, k.confirmed = proto.CloneOf(n), version, sent
 	k.holds, k.paused, k.seen = map[owner]*holding{}, map[uint32]bool{}, map[owner]*platform.Target{}
 	k.moving, k.fenced = false, false
--- a/internal/gate/router/duty.go
+++ b/internal/gate/router/duty.go
@@ -48,9 +48,14 @@
 	return nil
 }
 
-// Ping tells which run of the instance answers.
+// storeLost is the age of the copies after which an instance lets others take
+// over its duties at the store.
+const storeLost = 4 * time.Second
+
+// Ping tells which run of the instance answers, and whether others should take
+// over its duties.
 func (g *gate) Ping(_ *schema.PingRequest, a *schema.PingReply) error {
-	a.Incarnation, a.Leaving = g.n.self.Incarnation, g.n.leaving.Load()
+	a.Incarnation, a.Leaving = g.n.self.Incarnation, g.n.leaving.Load() || g.n.spread.Age() > storeLost
 	return nil
 }
 
--- a/internal/gate/router/serve.go
+++ b/internal/gate/router/router.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -42,8 +43,20 @@
 	keepCount    = 3
 )
 
+// Options are what an instance uses of its process.
+type Options struct {
+	Log zerolog.Logger
+	// Reload asks for a new look at the settings.
+	Reload <-chan os.Signal
+	// Read reads the settings, and Changed tells whether they may have changed
+	// since it was last called.
+	Read    func() (*platform.Settings, error)
+	Changed func() bool
+}
+
 // Instance is a running instance.
 type Instance struct {
+	options  Options
 	settings *platform.Settings
 	self     peer.Instance
 	log      zerolog.Logger
@@ -61,6 +74,8 @@
 	client  *khttp.Server
 	ready   *http.Server
 	leaving atomic.Bool
+	// grace is the time from SIGTERM to SIGKILL.
+	grace atomic.Int64
 
 	mu      sync.Mutex
 	keepers map[string]*keep.Keeper
@@ -71,9 +86,10 @@
 }
 
 // Run runs an instance until c ends, then finishes its requests.
-func Run(c context.Context, s *platform.Settings, l zerolog.Logger) error {
-	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare))
-	n := build(s, l.With().Str("instance", s.Instance).Logger())
+func Run(c context.Context, s *platform.Settings, o Options) error {
+	n := build(s, o.Log.With().Str("instance", s.Instance).Logger())
+	n.options = o
+	n.configure(s)
 	if err := n.start(); err != nil {
 		return err
 	}
@@ -97,7 +113,7 @@
 	n.homes = group.New(n.spread, n.lines, l)
 	n.entry = entry.New(entry.Options{
 		Self: n.self, Views: n.spread, Homes: n.homes, Pool: n.pool, Alive: n.alive, Owners: n.owners, Regions: s.Regions,
-		Bound: budget.Bound{Ratio: s.RetryRatio, Window: s.RetryWindow, Allowance: s.RetryAllowance}, Log: l, Leaving: n.leaving.Load,
+		Log: l, Leaving: n.leaving.Load,
 	})
 	return n
 }
@@ -133,10 +149,49 @@
 	n.group.Go(func() { n.follow(c) })
 	n.group.Go(func() { n.probe(c) })
 	n.group.Go(func() { n.reportLoads(c) })
+	n.group.Go(func() { n.reload(c) })
 	n.log.Info().Str("event", "started").Str("incarnation", n.self.Incarnation).Str("failure-domain", n.self.FailureDomain).Msg("")
 	return nil
 }
 
+// reloadInterval is the time between looks at the settings file, which may
+// change without a signal.
+const reloadInterval = time.Second
+
+// reload adopts changed settings.
+func (n *Instance) reload(c context.Context) {
+	t := time.NewTicker(reloadInterval)
+	defer t.Stop()
+	for {
+		signalled := false
+		select {
+		case <-c.Done():
+			return
+		case <-n.options.Reload:
+			signalled = true
+		case <-t.C:
+		}
+		if !n.options.Changed() && !signalled {
+			continue
+		}
+		s, err := n.options.Read()
+		if err != nil {
+			n.log.Error().Str("event", "reload-failed").Err(err).Msg("settings stay as they were")
+			continue
+		}
+		n.log.Info().Str("event", "reloaded").Bool("signalled", signalled).Msg("")
+		n.configure(s)
+	}
+}
+
+// configure adopts the settings that may change while an instance runs: bounds
+// and limits. Its name, place and addresses stay until it is started again.
+func (n *Instance) configure(s *platform.Settings) {
+	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare))
+	n.entry.SetBound(budget.Bound{Ratio: s.RetryRatio, Window: s.RetryWindow, Allowance: s.RetryAllowance})
+	n.grace.Store(int64(s.Grace))
+}
+
 // report logs the end of a server.
 func (n *Instance) report(name string, err error) {
 	if err != nil && err != http.ErrServerClosed {
@@ -162,7 +217,7 @@
 	n.leaving.Store(true)
 	n.deregister()
 	time.Sleep(closeDelay - time.Since(begin))
-	c, stop := context.WithDeadline(context.Background(), begin.Add(n.settings.Grace-closeReserve))
+	c, stop := context.WithDeadline(context.Background(), begin.Add(time.Duration(n.grace.Load())-closeReserve))
 	defer stop()
 	if err := n.client.Stop(c); err != nil {
 		n.log.Warn().Str("event", "requests-cut").Err(err).Msg("")
