Raise the fence of keys before their release

Ruled out: two keepers, and a renewal sent after the release (calls to a target are serialised).

Before a release the target now acknowledges a grant whose fence is higher than that of each grant without an answer, so that it refuses those. Fences have a part for this within an epoch.

--- a/internal/gate/keep/grant.go
+++ b/internal/gate/keep/grant.go
@@ -59,11 +59,14 @@
 		h.until = end.Add(drift.Stretch(hold))
 		h.acked = h.acked.Replace(r)
 	}
-	if errors.Is(err, platform.ErrReplaced) {
+	switch {
+	case err == nil:
+	case errors.Is(err, platform.ErrReplaced):
 		h.ended = true
-	}
-	if errors.Is(err, platform.ErrFenced) {
+	case errors.Is(err, platform.ErrFenced):
 		k.fenced = true
+	default:
+		h.doubt = max(h.doubt, r.Fence)
 	}
 	return err
 }
--- a/internal/gate/keep/keep.go
+++ b/internal/gate/keep/keep.go
@@ -91,6 +91,8 @@
 	writing uint64
 	// seen holds the last address of each run of a target.
 	seen map[owner]*platform.Target
+	// raised counts the fences raised since the last write of the row.
+	raised uint64
 	// fenced is set when a target has seen a higher fence.
 	fenced bool
 	// predecessorEnd is when the grants of an earlier keeper have run out.
@@ -122,6 +124,9 @@
 	// this keeper. Until then a late grant of a predecessor, whose fence the
 	// target has not seen exceeded, may follow on a release.
 	acked keys.Ranges
+	// doubt is the highest fence of the grants that had no answer: the target
+	// may take them later.
+	doubt uint64
 	// ended is set once the run is known to have ended.
 	ended bool
 	busy  bool
--- a/internal/gate/keep/move.go
+++ b/internal/gate/keep/move.go
@@ -81,7 +81,19 @@
 	if k.row == nil || k.tenure != t.number {
 		return false
 	}
-	k.row, k.version, k.confirmed = t.row, version, max(k.confirmed, sent)
+	k.row, k.version, k.confirmed, k.raised = t.row, version, max(k.confirmed, sent), 0
+	return true
+}
+
+// refresh takes over the fences that were raised since a change began. It
+// reports whether the keeper is still the one that began it.
+func (k *Keeper) refresh(t tenure) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.row == nil || k.tenure != t.number {
+		return false
+	}
+	t.row.Ranges = proto.CloneOf(k.row).Ranges
 	return true
 }
 
@@ -153,13 +165,16 @@
 		ranges = append(ranges, m.Range)
 	}
 	k.announce(c, v, &schema.KeysRequest{Service: k.service, Epoch: row.Epoch, Ranges: ranges, Moving: true})
-	handovers := k.releaseAll(c, v, moves)
+	handovers := k.releaseAll(c, v, t.number, moves)
+	if !k.refresh(t) {
+		return
+	}
 	var changed []*schema.KeyRange
 	var passed []string
 	row.Epoch++
 	for i, m := range moves {
 		if handovers[i].ok {
-			changed = append(changed, &schema.KeyRange{From: m.Range.From, To: m.Range.To, Target: m.Target, Born: m.Born, Fence: row.Epoch})
+			changed = append(changed, &schema.KeyRange{From: m.Range.From, To: m.Range.To, Target: m.Target, Born: m.Born, Fence: firstFence(row.Epoch)})
 			passed = append(passed, handovers[i].text)
 		}
 	}
@@ -204,18 +219,18 @@
 	ok   bool
 }
 
-func (k *Keeper) releaseAll(c context.Context, v *view.View, moves []keys.Move) []handover {
+func (k *Keeper) releaseAll(c context.Context, v *view.View, tenure int, moves []keys.Move) []handover {
 	out := make([]handover, len(moves))
 	var g sync.WaitGroup
 	for i, m := range moves {
-		g.Go(func() { out[i] = k.release(c, v, m.Range) })
+		g.Go(func() { out[i] = k.release(c, v, tenure, m.Range) })
 	}
 	g.Wait()
 	return out
 }
 
 // release takes a range from its owner.
-func (k *Keeper) release(c context.Context, v *view.View, r *schema.KeyRange) handover {
+func (k *Keeper) release(c context.Context, v *view.View, tenure int, r *schema.KeyRange) handover {
 	k.mu.Lock()
 	h := k.holding(r)
 	t, ok := k.address(v, r)
@@ -230,9 +245,11 @@
 	}
 	h.calls.Lock()
 	defer h.calls.Unlock()
-	if err := k.raiseFence(c, h, t, r); errors.Is(err, platform.ErrReplaced) {
+	r, err := k.raiseFence(c, tenure, h, t, r)
+	if errors.Is(err, platform.ErrReplaced) {
 		return handover{ok: true}
-	} else if err != nil {
+	}
+	if err != nil {
 		k.log.Warn().Str("event", "grant-failed").Str("target", r.Target).Uint64("fence", r.Fence).Uint32("from", r.From).Err(err).Msg("")
 		return handover{}
 	}
@@ -249,18 +266,62 @@
 	return handover{s, true}
 }
 
-// raiseFence makes sure that a target refuses the grants of earlier keepers
-// before it is asked to release keys. The caller holds the target's calls.
-func (k *Keeper) raiseFence(c context.Context, h *holding, t *platform.Target, r *schema.KeyRange) error {
+// raiseTries is how often a target is sent a grant with a higher fence.
+const raiseTries = 3
+
+// raiseFence makes sure, before a target is asked to release keys, that it will
+// refuse all grants that it may not have received yet: those of earlier keepers,
+// and those that it has not answered. It returns the range with the fence that
+// the target has acknowledged. The caller holds the target's calls.
+func (k *Keeper) raiseFence(c context.Context, tenure int, h *holding, t *platform.Target, r *schema.KeyRange) (*schema.KeyRange, error) {
 	k.mu.Lock()
-	done := h.acknowledged(r)
+	done := h.acknowledged(r) && r.Fence > h.doubt
 	k.mu.Unlock()
 	if done {
-		return nil
+		return r, nil
 	}
-	return k.grant(c, h, platform.Run{ID: t.ID, Address: t.Address}, r, "")
+	var err error
+	for range raiseTries {
+		n, ok := k.raise(tenure, r)
+		if !ok {
+			return nil, errNotKeeper
+		}
+		err = k.grant(c, h, platform.Run{ID: t.ID, Address: t.Address}, n, "")
+		if err == nil {
+			return n, nil
+		}
+		if errors.Is(err, platform.ErrReplaced) || errors.Is(err, platform.ErrFenced) {
+			break
+		}
+	}
+	return nil, err
 }
 
+// errNotKeeper reports that the instance is no longer the keeper.
+var errNotKeeper = errors.New("not the keeper any more")
+
+// raise gives a range a higher fence of the present epoch.
+func (k *Keeper) raise(tenure int, r *schema.KeyRange) (*schema.KeyRange, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.row == nil || k.tenure != tenure {
+		return nil, false
+	}
+	k.raised++
+	n := proto.CloneOf(r)
+	n.Fence = firstFence(k.row.Epoch) + k.raised
+	k.row.Ranges = keys.Ranges(k.row.Ranges).Replace(n)
+	k.paused[n.From] = true
+	return n, true
+}
+
+// fenceBits is the part of a fence that counts the grants with which a keeper
+// raises the fence within an epoch.
+const fenceBits = 16
+
+// firstFence returns the lowest fence of an epoch.
+func firstFence(epoch uint64) uint64 { return epoch << fenceBits }
+
 // grantAll grants ranges to their new owners. Renewals follow up on a grant
 // that fails.
 func (k *Keeper) grantAll(c context.Context, v *view.View, rs []*schema.KeyRange, handovers []string) {
@@ -292,7 +353,7 @@
 	k.group.Go(func() {
 		defer k.moved(t.number)
 		t.row.Epoch++
-		t.row.Ranges = keys.Ranges(t.row.Ranges).Refence(t.row.Epoch)
+		t.row.Ranges = keys.Ranges(t.row.Ranges).Refence(firstFence(t.row.Epoch))
 		n, sent, err := k.commit(c, t.row, t.version)
 		if err != nil || !k.adopt(t, n, sent) {
 			k.log.Warn().Str("event", "refence-failed").Uint64("epoch", t.row.Epoch).Err(err).Msg("")
--- a/internal/gate/keep/watch.go
+++ b/internal/gate/keep/watch.go
@@ -159,9 +159,9 @@
 	w.busy = true
 	n := &schema.KeyMap{Service: k.service, Epoch: m.Epoch + 1, Keeper: k.self.ID, Incarnation: k.self.Incarnation}
 	if len(m.Ranges) == 0 {
-		n.Ranges = keys.Initial(k.members(v), n.Epoch)
+		n.Ranges = keys.Initial(k.members(v), firstFence(n.Epoch))
 	} else {
-		n.Ranges = keys.Ranges(m.Ranges).Refence(n.Epoch)
+		n.Ranges = keys.Ranges(m.Ranges).Refence(firstFence(n.Epoch))
 	}
 	// The process of a keeper that has started again has ended for certain.
 	ended := m.Keeper != "" && v.Incarnations[m.Keeper] != "" && v.Incarnations[m.Keeper] != m.Incarnation || m.Keeper == ""
@@ -182,7 +182,7 @@
 	k.tenure++
 	k.row, k.version, k.confirmed = proto.CloneOf(n), version, sent
 	k.holds, k.paused, k.seen = map[owner]*holding{}, map[uint32]bool{}, map[owner]*platform.Target{}
-	k.moving, k.fenced = false, false
+	k.moving, k.fenced, k.raised = false, false, 0
 	k.predecessorEnd = now
 	if m.Keeper != "" {
 		k.predecessorEnd = now.Add(drift.Stretch(hold) + holdMargin)
