--- a/internal/gate/keep/move.go
+++ b/internal/gate/keep/move.go
@@ -245,7 +245,7 @@
 	}
 	h.calls.Lock()
 	defer h.calls.Unlock()
-	r, err := k.raiseFence(c, tenure, h, t, r)
+	n, err := k.raiseFence(c, tenure, h, t, r)
 	if errors.Is(err, platform.ErrReplaced) {
 		return handover{ok: true}
 	}
@@ -255,7 +255,7 @@
 	}
 	c, stop := context.WithTimeout(c, releaseTimeout)
 	defer stop()
-	s, err := k.granter.Release(c, platform.Run{ID: t.ID, Address: t.Address}, keysOf(r))
+	s, err := k.granter.Release(c, platform.Run{ID: t.ID, Address: t.Address}, keysOf(n))
 	if errors.Is(err, platform.ErrReplaced) {
 		return handover{ok: true}
 	}
