--- a/internal/state/mirror/mirror.go
+++ b/internal/state/mirror/mirror.go
@@ -62,10 +62,13 @@
 // Version returns the version up to which the copy is complete.
 func (t *Table) Version() platform.Version { return t.version }
 
+// NeverRead is the age of a copy that was never complete.
+const NeverRead = time.Hour
+
 // Age returns the time since the copy was known to be complete.
 func (t *Table) Age(now clock.Time) time.Duration {
 	if !t.known {
-		return time.Hour
+		return NeverRead
 	}
 	return now.Sub(t.asOf)
 }
--- a/internal/state/spread/spread.go
+++ b/internal/state/spread/spread.go
@@ -45,6 +45,8 @@
 	// staleAfter is the age of the targets' copy after which an instance that is
 	// no reader becomes one; it exceeds pollInterval and two pulls.
 	staleAfter = 1900 * time.Millisecond
+	// farAfter is the age after which other regions are asked, too.
+	farAfter = 3 * time.Second
 	// rankDelay spreads the instances that step in for the readers.
 	rankDelay = 400 * time.Millisecond
 	// stepInTime is how long they then read.
@@ -54,11 +56,11 @@
 	idleCheck = 200 * time.Millisecond
 	// minBackOff and maxBackOff bound the pause after a failed read.
 	minBackOff = 200 * time.Millisecond
-	maxBackOff = time.Second
-	// outageAfter is the time without an answer after which the store counts as
-	// having been away, and returnTime the time in which targets whose rows
-	// lapsed meanwhile register again.
-	outageAfter = time.Second
+	maxBackOff = 800 * time.Millisecond
+	// outageAfter is the age of the copies at which the store counts as having
+	// been away, and returnTime the time in which targets whose rows lapsed
+	// meanwhile register again.
+	outageAfter = 2500 * time.Millisecond
 	returnTime  = 2200 * time.Millisecond
 	// pullTimeout bounds one read of another instance's copies.
 	pullTimeout = 500 * time.Millisecond
@@ -237,9 +239,9 @@
 func (r *reader) once(c context.Context) time.Duration {
 	s := r.spread
 	s.mu.Lock()
-	v, known := s.copies[r.table].Version(), s.copies[r.table].Known()
-	s.mu.Unlock()
 	now := clock.Boot()
+	v, known, age := s.copies[r.table].Version(), s.copies[r.table].Known(), s.copies[r.table].Age(now)
+	s.mu.Unlock()
 	whole := r.whole || !known
 	var rows platform.Rows
 	var err error
@@ -258,7 +260,7 @@
 	case err != nil:
 		return r.failed(now, err)
 	}
-	r.answered(now)
+	r.answered(now, age)
 	s.apply(now, r.table, rows, whole, r.holdsBack(now))
 	if whole && !r.holdsBack(now) {
 		r.whole = false
@@ -295,11 +297,11 @@
 	return r.table == targets && r.returned != 0 && now.Sub(r.returned) < returnTime
 }
 
-func (r *reader) answered(now clock.Time) {
+func (r *reader) answered(now clock.Time, age time.Duration) {
 	if r.failures > 0 {
 		r.spread.log.Info().Str("event", "store-regained").Str("table", string(names[r.table])).Dur("away", now.Sub(r.last)).Msg("")
 	}
-	if r.table == targets && now.Sub(r.last) > outageAfter+pollInterval {
+	if r.table == targets && age > outageAfter && !r.holdsBack(now) && age != mirror.NeverRead {
 		r.returned, r.whole = now, true
 	}
 	r.failures, r.last = 0, now
@@ -367,10 +369,21 @@
 	}
 }
 
-// pickSource returns the instance to read from: each of the readers in turn.
+// pickSource returns the instance to read from: each of the readers in turn. If
+// they have nothing new, the other instances of the region and then those of
+// other regions follow, because the store may be out of reach for some only.
 func (s *Spread) pickSource() (peer.Instance, bool) {
 	n := s.order()
-	n = n[:min(readers, len(n))]
+	s.mu.Lock()
+	age := s.copies[targets].Age(clock.Boot())
+	s.mu.Unlock()
+	switch {
+	case age > farAfter:
+		n = s.alive.Nearest(s.View(), "reader/"+s.self.Region, peer.Place{Region: s.self.Region})
+	case age > staleAfter:
+	default:
+		n = n[:min(readers, len(n))]
+	}
 	s.source++
 	for i := range n {
 		v := n[(s.source+i)%len(n)]
