Prefer capable machines for duties, compress large rows between instances

Machines now count by processor and link in the choice of homes and readers, and rows of 4 KB or more are compressed between instances.

--- a/internal/gate/router/duty.go
+++ b/internal/gate/router/duty.go
@@ -98,7 +98,7 @@
 func (n *Instance) writeRow(c context.Context) {
 	c, stop := context.WithTimeout(c, registerTimeout)
 	defer stop()
-	m := &schema.InstanceRow{InstanceId: n.self.ID, Incarnation: n.self.Incarnation, RpcAddress: n.self.RPCAddress, Region: n.self.Region, FailureDomain: n.self.FailureDomain}
+	m := &schema.InstanceRow{InstanceId: n.self.ID, Incarnation: n.self.Incarnation, RpcAddress: n.self.RPCAddress, Region: n.self.Region, FailureDomain: n.self.FailureDomain, Weight: n.settings.Processor * n.settings.Link}
 	b, err := proto.Marshal(m)
 	if err != nil {
 		n.log.Error().Str("event", "register-failed").Err(err).Msg("")
--- a/internal/state/mirror/mirror.go
+++ b/internal/state/mirror/mirror.go
@@ -3,13 +3,17 @@
 package mirror
 
 import (
+	"bytes"
 	"cmp"
+	"compress/flate"
+	"io"
 	"slices"
 	"time"
 
 	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/platform"
 	"dandelionrock.example/dandelionrock/schema"
+	"github.com/cockroachdb/errors"
 )
 
 // maxRemoved bounds the removed rows that are remembered for instances that
@@ -38,6 +42,40 @@
 	// change of meaning. changed <= version.
 	version, changed platform.Version
 	removed          bool
+	// packed is the compressed value, if it is large, once it was asked for.
+	packed []byte
+}
+
+// packFrom is the size in bytes from which a value is compressed for other
+// instances: a configuration with hundreds of routes would fill a slow link.
+const packFrom = 4096
+
+// packedValue returns the value for other instances, and whether it is
+// compressed.
+func (r *row) packedValue() ([]byte, bool) {
+	if len(r.value) < packFrom {
+		return r.value, false
+	}
+	if r.packed == nil {
+		r.packed = pack(r.value)
+	}
+	return r.packed, true
+}
+
+func pack(b []byte) []byte {
+	var o bytes.Buffer
+	// A buffer takes all writes, and the level is valid.
+	w, _ := flate.NewWriter(&o, flate.BestSpeed)
+	_, _ = w.Write(b)
+	_ = w.Close()
+	return o.Bytes()
+}
+
+// maxUnpacked bounds a value in bytes.
+const maxUnpacked = 16 << 20
+
+func unpack(b []byte) ([]byte, error) {
+	return io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(b)), maxUnpacked))
 }
 
 // Change is a row whose meaning changed; Value is nil if it was removed.
@@ -124,7 +162,7 @@
 	} else if value == nil {
 		value = []byte{}
 	}
-	n := &row{key, value, version, changed, removed}
+	n := &row{key: key, value: value, version: version, changed: changed, removed: removed}
 	if old != nil && old.removed == removed && (removed || t.same(old.value, value)) {
 		n.changed = old.changed
 		t.rows[key] = n
@@ -179,7 +217,8 @@
 	m.Whole = v < t.floor || v == 0
 	for _, r := range t.rows {
 		if m.Whole && !r.removed || !m.Whole && r.changed > v {
-			m.Rows = append(m.Rows, &schema.StoreRow{Key: r.key, Value: r.value, Version: uint64(r.changed), Removed: r.removed})
+			b, packed := r.packedValue()
+			m.Rows = append(m.Rows, &schema.StoreRow{Key: r.key, Value: b, Version: uint64(r.changed), Removed: r.removed, Deflated: packed})
 		}
 	}
 	slices.SortFunc(m.Rows, func(a, b *schema.StoreRow) int { return cmp.Compare(a.Key, b.Key) })
@@ -187,13 +226,20 @@
 }
 
 // Merge applies the copy of another instance, for which it was asked at sent.
-func (t *Table) Merge(sent clock.Time, m *schema.SyncTable) []Change {
+func (t *Table) Merge(sent clock.Time, m *schema.SyncTable) ([]Change, error) {
 	if !m.Known {
-		return nil
+		return nil, nil
 	}
 	r := platform.Rows{Version: platform.Version(m.Version)}
 	for _, v := range m.Rows {
-		r.Rows = append(r.Rows, platform.Row{Key: v.Key, Value: v.Value, Version: platform.Version(v.Version), Removed: v.Removed})
+		b := v.Value
+		if v.Deflated {
+			var err error
+			if b, err = unpack(b); err != nil {
+				return nil, errors.Wrapf(err, "row %q", v.Key)
+			}
+		}
+		r.Rows = append(r.Rows, platform.Row{Key: v.Key, Value: b, Version: platform.Version(v.Version), Removed: v.Removed})
 	}
-	return t.Apply(sent.Add(-time.Duration(m.AgeMs)*time.Millisecond), r, m.Whole)
+	return t.Apply(sent.Add(-time.Duration(m.AgeMs)*time.Millisecond), r, m.Whole), nil
 }
--- a/internal/state/spread/spread.go
+++ b/internal/state/spread/spread.go
@@ -412,7 +412,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for n, m := range a.Tables[:min(len(a.Tables), tables)] {
-		s.publish(n, s.copies[n].Merge(sent, m))
+		changes, err := s.copies[n].Merge(sent, m)
+		if err != nil {
+			s.log.Warn().Str("event", "copy-ignored").Str("table", string(names[n])).Str("peer", i.ID).Err(err).Msg("")
+		}
+		s.publish(n, changes)
 	}
 }
 
--- a/internal/state/view/view.go
+++ b/internal/state/view/view.go
@@ -134,7 +134,7 @@
 		return errors.Wrapf(err, "row of instance %q", id)
 	}
 	i := peer.Instance{}
-	i.ID, i.Incarnation, i.RPCAddress, i.Region, i.FailureDomain = id, m.Incarnation, m.RpcAddress, m.Region, m.FailureDomain
+	i.ID, i.Incarnation, i.RPCAddress, i.Region, i.FailureDomain, i.Weight = id, m.Incarnation, m.RpcAddress, m.Region, m.FailureDomain, m.Weight
 	v.Instances = append(v.Instances, i)
 	v.Incarnations[id] = m.Incarnation
 	return nil
