--- a/internal/gate/entry/entry.go
+++ b/internal/gate/entry/entry.go
@@ -15,6 +15,7 @@
 
 	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/internal/gate/group"
+	"dandelionrock.example/dandelionrock/internal/gate/meter"
 	"dandelionrock.example/dandelionrock/internal/header"
 	"dandelionrock.example/dandelionrock/internal/plan/budget"
 	"dandelionrock.example/dandelionrock/internal/plan/keys"
@@ -49,6 +50,7 @@
 	// Regions maps failure domains to their regions.
 	Regions map[string]string
 	Log     zerolog.Logger
+	Meter   *meter.Meter
 	// Leaving reports whether the instance is shutting down.
 	Leaving func() bool
 }
@@ -258,6 +260,7 @@
 
 // refuse answers a request that was not run.
 func (e *Entry) refuse(w http.ResponseWriter, r *http.Request, status int, reason string, retry time.Duration) {
+	e.Meter.Request("", reason, 0)
 	e.Log.Info().Str("event", "request-refused").Str("request", r.Header.Get(platform.HeaderAttempt)).Str("host", r.Host).Str("reason", reason).Int("status", status).Msg("")
 	respond(w, status, r.Header.Get(platform.HeaderAttempt), reason, retry)
 }
--- a/internal/gate/group/group.go
+++ b/internal/gate/group/group.go
@@ -10,6 +10,7 @@
 
 	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/internal/gate/line"
+	"dandelionrock.example/dandelionrock/internal/gate/meter"
 	"dandelionrock.example/dandelionrock/internal/plan/pool"
 	"dandelionrock.example/dandelionrock/internal/state/view"
 	"dandelionrock.example/dandelionrock/platform"
@@ -32,6 +33,7 @@
 	views Views
 	lines *line.Lines
 	log   zerolog.Logger
+	meter *meter.Meter
 
 	mu     sync.Mutex
 	next   pool.ID
@@ -58,8 +60,8 @@
 }
 
 // New returns Homes without groups.
-func New(v Views, l *line.Lines, g zerolog.Logger) *Homes {
-	return &Homes{views: v, lines: l, log: g, groups: map[Key]*home{}, calls: map[call]context.CancelFunc{}}
+func New(v Views, l *line.Lines, g zerolog.Logger, m *meter.Meter) *Homes {
+	return &Homes{views: v, lines: l, log: g, meter: m, groups: map[Key]*home{}, calls: map[call]context.CancelFunc{}}
 }
 
 // Close waits for the requests in progress.
@@ -247,6 +249,7 @@
 	var w *line.Answer
 	w, err = h.lines.Do(c, line.Peer{ID: t.ID, Born: t.Born, Address: t.Address}, r)
 	result = conclude(c, w, err, a)
+	h.meter.Target(q.Service, a.Outcome.String(), clock.Boot().Sub(begin))
 	if result != pool.Answered {
 		h.log.Info().Str("event", "target-failed").Str("request", q.AttemptId).Str("service", q.Service).Str("target", t.ID).
 			Str("outcome", a.Outcome.String()).Int32("status", a.Status).Dur("took", clock.Boot().Sub(begin)).Err(err).Msg("")
--- a/internal/gate/keep/keep.go
+++ b/internal/gate/keep/keep.go
@@ -100,8 +100,8 @@
 	rebalanced     clock.Time
 	load           keys.Load
 	// ratings tells how the targets deal with requests, by id.
-	ratings  map[string]*rating
-	watch    watch
+	ratings map[string]*rating
+	watch   watch
 }
 
 // owner identifies a run of a target.
--- /dev/null
+++ b/internal/gate/logs/logs.go
@@ -0,0 +1,77 @@
+// Package logs writes log lines without ever making their writers wait. Lines
+// that come faster than they may be written are dropped and counted.
+package logs
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dandelionrock.example/dandelionrock/internal/ring"
+	"golang.org/x/time/rate"
+)
+
+const (
+	// ringLines is the number of lines that may wait to be written.
+	ringLines = 1024
+	// reportInterval is the time between lines that state how many were dropped.
+	reportInterval = time.Second
+)
+
+// Writer passes lines on to another writer. Use New.
+type Writer struct {
+	out     io.Writer
+	ring    *ring.Ring[[]byte]
+	limit   *rate.Limiter
+	dropped atomic.Uint64
+	group   sync.WaitGroup
+}
+
+// New returns a Writer of at most perSecond lines a second on average, and as
+// many at once.
+func New(out io.Writer, perSecond int) *Writer {
+	w := &Writer{out: out, ring: ring.New[[]byte](ringLines), limit: rate.NewLimiter(rate.Limit(perSecond), perSecond)}
+	w.group.Go(w.run)
+	return w
+}
+
+// Write takes a line. It never waits and never fails.
+func (w *Writer) Write(b []byte) (int, error) {
+	if !w.limit.Allow() || w.ring.Offer(append([]byte(nil), b...)) != nil {
+		w.dropped.Add(1)
+	}
+	return len(b), nil
+}
+
+// Close writes the lines that wait, and no others.
+func (w *Writer) Close() error {
+	w.ring.Close()
+	w.group.Wait()
+	return nil
+}
+
+func (w *Writer) run() {
+	reported := time.Now()
+	for {
+		b, err := w.ring.Take(context.Background())
+		if err != nil {
+			w.report()
+			return
+		}
+		// There is nowhere to report a failure of the log itself.
+		_, _ = w.out.Write(b)
+		if time.Since(reported) >= reportInterval {
+			w.report()
+			reported = time.Now()
+		}
+	}
+}
+
+func (w *Writer) report() {
+	if n := w.dropped.Swap(0); n > 0 {
+		_, _ = fmt.Fprintf(w.out, "{\"level\":\"warn\",\"event\":\"log-lines-dropped\",\"count\":%d,\"time\":%d}\n", n, time.Now().UnixMilli())
+	}
+}
--- /dev/null
+++ b/internal/gate/meter/meter.go
@@ -0,0 +1,61 @@
+// Package meter counts what an instance does and serves the counts as text.
+package meter
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+// interval is the time between reports to the text handler.
+const interval = time.Second
+
+// buckets are the bounds of the latency histograms.
+var buckets = tally.DurationBuckets{
+	5 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond,
+	400 * time.Millisecond, 800 * time.Millisecond, 1600 * time.Millisecond, 3200 * time.Millisecond, 10 * time.Second,
+}
+
+// Meter holds the counters of an instance. Use New.
+type Meter struct {
+	scope  tally.Scope
+	closer io.Closer
+	text   http.Handler
+}
+
+// New returns a Meter.
+func New() *Meter {
+	r := prometheus.NewReporter(prometheus.Options{})
+	s, c := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "dandelionrock", CachedReporter: r, Separator: prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
+	}, interval)
+	return &Meter{s, c, r.HTTPHandler()}
+}
+
+// Close stops reporting.
+func (m *Meter) Close() error { return m.closer.Close() }
+
+// ServeHTTP serves the counts in the Prometheus text format.
+func (m *Meter) ServeHTTP(w http.ResponseWriter, r *http.Request) { m.text.ServeHTTP(w, r) }
+
+// Request counts a request of a client by its service and outcome: answered,
+// late, or the reason of a failure.
+func (m *Meter) Request(service, outcome string, took time.Duration) {
+	s := m.scope.Tagged(map[string]string{"service": service, "outcome": outcome})
+	s.Counter("requests").Inc(1)
+	s.Histogram("request_latency", buckets).RecordDuration(took)
+}
+
+// Target counts a request sent to a target by its outcome.
+func (m *Meter) Target(service, outcome string, took time.Duration) {
+	s := m.scope.Tagged(map[string]string{"service": service, "outcome": outcome})
+	s.Counter("target_requests").Inc(1)
+	s.Histogram("target_latency", buckets).RecordDuration(took)
+}
+
+// Add counts an event.
+func (m *Meter) Add(event string, n int) { m.scope.Counter(event).Inc(int64(n)) }
--- a/internal/gate/router/router.go
+++ b/internal/gate/router/router.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"runtime/debug"
 	"sync"
@@ -16,6 +17,7 @@
 	"dandelionrock.example/dandelionrock/internal/gate/group"
 	"dandelionrock.example/dandelionrock/internal/gate/keep"
 	"dandelionrock.example/dandelionrock/internal/gate/line"
+	"dandelionrock.example/dandelionrock/internal/gate/meter"
 	"dandelionrock.example/dandelionrock/internal/plan/budget"
 	"dandelionrock.example/dandelionrock/internal/plan/keys"
 	"dandelionrock.example/dandelionrock/internal/relay"
@@ -28,6 +30,9 @@
 	"github.com/rs/zerolog"
 )
 
+// metricsPort serves the counters; deploy/system.toml names it, too.
+const metricsPort = 9464
+
 const (
 	// closeDelay is the time for which a leaving instance still takes requests:
 	// the load balancer asks once a second and believes the second miss.
@@ -73,6 +78,8 @@
 	entry   *entry.Entry
 	client  *khttp.Server
 	ready   *http.Server
+	meter   *meter.Meter
+	metrics *http.Server
 	leaving atomic.Bool
 	// grace is the time from SIGTERM to SIGKILL.
 	grace atomic.Int64
@@ -110,10 +117,11 @@
 	n.spread = spread.New(n.self, n.store, n.pool, n.alive, l)
 	n.owners = &keys.Owners{}
 	n.lines = line.New()
-	n.homes = group.New(n.spread, n.lines, l)
+	n.meter = meter.New()
+	n.homes = group.New(n.spread, n.lines, l, n.meter)
 	n.entry = entry.New(entry.Options{
 		Self: n.self, Views: n.spread, Homes: n.homes, Pool: n.pool, Alive: n.alive, Owners: n.owners, Regions: s.Regions,
-		Log: l, Leaving: n.leaving.Load,
+		Log: l, Meter: n.meter, Leaving: n.leaving.Load,
 	})
 	return n
 }
@@ -137,8 +145,14 @@
 	if err != nil {
 		return err
 	}
+	m, err := net.Listen("tcp", netip.AddrPortFrom(n.settings.Peer.Addr(), metricsPort).String())
+	if err != nil {
+		return err
+	}
 	c, stop := context.WithCancel(context.Background())
 	n.cancel = stop
+	n.metrics = &http.Server{Handler: n.meter, ReadHeaderTimeout: time.Second}
+	n.group.Go(func() { n.report("metrics", n.metrics.Serve(m)) })
 	n.client = edge.NewServer(f, n.entry)
 	n.ready = &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: time.Second}
 	n.group.Go(func() { n.report("rpc", n.server.Serve(p)) })
