--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SOURCES := $(shell git ls-files --cached --others --exclude-standard '*.go')
 HAND_WRITTEN := $(filter-out %.pb.go,$(SOURCES))
 
-.PHONY: build test format-check lint unit demo bench generate tools clean
+.PHONY: soak build test format-check lint unit demo bench generate tools clean
 
 build: ## Builds the programs into bin/.
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -42,3 +42,6 @@
 
 clean:
 	rm -rf $(BIN)
+
+soak: ## Runs the fault soak: SEED=n for one seed, SEEDS=n for fresh ones.
+	$(GO) test -count=1 -timeout=120m -v -run TestSoak ./internal/fault/soak -soak.seed=$(or $(SEED),0) -soak.seeds=$(or $(SEEDS),0) -soak.instances=$(or $(INSTANCES),4)
