--- a/internal/fault/soak/world_test.go
+++ b/internal/fault/soak/world_test.go
@@ -72,7 +72,7 @@
 	if w.actions, err = os.Create(filepath.Join(dir, "actions.log")); err != nil {
 		t.Fatal(err)
 	}
-	if w.store, err = mimic.NewStore(network+".0.1:0"); err != nil {
+	if w.store, err = mimic.NewStore(network + ".0.1:0"); err != nil {
 		t.Fatal(err)
 	}
 	w.store.Put(platform.TableDesired, platform.KeyDesired, mimic.Configuration(1, ""))
