--- /dev/null
+++ b/internal/plan/place/place_test.go
@@ -0,0 +1,52 @@
+package place
+
+import (
+	"testing"
+	"time"
+
+	"dandelionrock.example/dandelionrock/clock"
+	"dandelionrock.example/dandelionrock/internal/plan/pool"
+)
+
+// Guards against requests that leave their failure domain or region without
+// need, and against those that stay behind a queue.
+func TestChoose(t *testing.T) {
+	cs := []Candidate{{"s", "far", Far, 4}, {"s", "region", Region, 4}, {"s", "same", Same, 4}}
+	load := func(waiting int) *pool.Load {
+		return &pool.Load{Slots: 4, Running: 4, Waiting: waiting, Mean: 200 * time.Millisecond}
+	}
+	for _, c := range []struct {
+		name         string
+		same, region *pool.Load
+		want         string
+	}{
+		{"nothing known", nil, nil, "same"},
+		{"own domain full", load(0), nil, "region"},
+		{"region full", load(8), load(8), "far"},
+		{"short waits everywhere", load(0), load(0), "same"},
+	} {
+		var l Loads
+		now := clock.Time(time.Hour)
+		for d, v := range map[string]*pool.Load{"same": c.same, "region": c.region} {
+			if v != nil {
+				l.Begin("s", d)
+				l.End(now, "s", d, v)
+			}
+		}
+		if got, ok := l.Choose(now, cs); !ok || got.Domain != c.want {
+			t.Errorf("%s: Choose() = %+v, want %s", c.name, got, c.want)
+		}
+	}
+}
+
+// Guards against load that is remembered long after it has gone.
+func TestLoadIsForgotten(t *testing.T) {
+	var l Loads
+	now := clock.Time(time.Hour)
+	l.Begin("s", "same")
+	l.End(now, "s", "same", &pool.Load{Slots: 2, Running: 2, Waiting: 20, Mean: time.Second})
+	cs := []Candidate{{"s", "same", Same, 2}, {"s", "far", Far, 2}}
+	if got, _ := l.Choose(now.Add(2*memory), cs); got.Domain != "same" {
+		t.Errorf("Choose() = %+v", got)
+	}
+}
--- /dev/null
+++ b/internal/state/mirror/mirror_test.go
@@ -0,0 +1,154 @@
+package mirror
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	"dandelionrock.example/dandelionrock/clock"
+	"dandelionrock.example/dandelionrock/platform"
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+// meaning is the part of a value before a colon; the rest is a heartbeat.
+func meaning(a, b []byte) bool {
+	x, _, _ := bytes.Cut(a, []byte(":"))
+	y, _, _ := bytes.Cut(b, []byte(":"))
+	return bytes.Equal(x, y)
+}
+
+// history is a model of the store: the rows after each version.
+type history struct {
+	rows    map[string]platform.Row
+	changes []platform.Row
+}
+
+func (h *history) write(op uint16) {
+	v := platform.Version(len(h.changes) + 1)
+	r := platform.Row{Key: fmt.Sprint("k", op%7), Version: v, Value: fmt.Appendf(nil, "v%d:%d", op/7%3, v)}
+	if op%5 == 0 {
+		r.Value, r.Removed = nil, true
+		delete(h.rows, r.Key)
+	} else {
+		h.rows[r.Key] = r
+	}
+	h.changes = append(h.changes, r)
+}
+
+func (h *history) version() platform.Version { return platform.Version(len(h.changes)) }
+
+func (h *history) whole() platform.Rows {
+	r := platform.Rows{Version: h.version()}
+	for _, v := range h.rows {
+		r.Rows = append(r.Rows, v)
+	}
+	return r
+}
+
+// agrees reports the first row whose meaning differs from the store's.
+func (h *history) agrees(t *Table) string {
+	for k, r := range h.rows {
+		if c := t.rows[k]; c == nil || c.removed || !meaning(c.value, r.Value) {
+			return "row " + k + " is not as in the store"
+		}
+	}
+	for k, c := range t.rows {
+		if _, ok := h.rows[k]; !ok && !c.removed {
+			return "row " + k + " was removed"
+		}
+	}
+	return ""
+}
+
+// Guards against copies that miss a change or a removal, or go back: a reader
+// reads changes or the whole table, and another copy follows it, with gaps and
+// with answers that are older than what it has.
+func TestCopiesFollowTheStore(t *testing.T) {
+	p := gopter.DefaultTestParameters()
+	p.Rng.Seed(1)
+	p.MinSuccessfulTests = 500
+	q := gopter.NewProperties(p)
+	q.Property("copies agree with the store once they are up to date", prop.ForAllNoShrink(func(ops []uint16) string {
+		h := &history{rows: map[string]platform.Row{}}
+		reader, other := New(meaning), New(meaning)
+		var old *platform.Rows
+		for i, op := range ops {
+			now := clock.Time(i + 1)
+			h.write(op)
+			switch op % 11 {
+			case 0, 1, 2:
+				reader.Apply(now, h.whole(), true)
+			case 3, 4, 5:
+				if reader.Known() {
+					reader.Apply(now, platform.Rows{Rows: h.changes[reader.Version():], Version: h.version()}, false)
+				}
+			case 6:
+				w := h.whole()
+				old = &w
+			case 7:
+				if old != nil {
+					reader.Apply(now, *old, true)
+				}
+			}
+			if op%3 == 0 {
+				if _, err := other.Merge(now, reader.Since(now, other.Version())); err != nil {
+					return err.Error()
+				}
+			}
+		}
+		now := clock.Time(len(ops) + 1)
+		reader.Apply(now, h.whole(), true)
+		if _, err := other.Merge(now, reader.Since(now, other.Version())); err != nil {
+			return err.Error()
+		}
+		if s := h.agrees(reader); s != "" {
+			return "reader: " + s
+		}
+		if s := h.agrees(other); s != "" {
+			return "other: " + s
+		}
+		return ""
+	}, gen.SliceOfN(40, gen.UInt16())))
+	q.TestingRun(t)
+}
+
+// Guards against heartbeats that are passed on as changes.
+func TestHeartbeatsAreNoChanges(t *testing.T) {
+	m := New(meaning)
+	row := func(v platform.Version, s string) platform.Rows {
+		return platform.Rows{Version: v, Rows: []platform.Row{{Key: "k", Value: []byte(s), Version: v}}}
+	}
+	if n := len(m.Apply(1, row(1, "a:1"), true)); n != 1 {
+		t.Errorf("first read gives %d changes", n)
+	}
+	if n := len(m.Apply(2, row(2, "a:2"), false)); n != 0 {
+		t.Errorf("heartbeat gives %d changes", n)
+	}
+	if n := len(m.Since(2, 1).Rows); n != 0 {
+		t.Errorf("heartbeat is passed on as %d rows", n)
+	}
+	if n := len(m.Apply(3, row(3, "b:3"), false)); n != 1 {
+		t.Errorf("change gives %d changes", n)
+	}
+}
+
+// Guards against large rows that are spoiled on their way.
+func TestLargeRows(t *testing.T) {
+	a, b := New(nil), New(nil)
+	want := []byte(strings.Repeat(`{"name":"route"}`, 9000))
+	a.Apply(1, platform.Rows{Version: 1, Rows: []platform.Row{{Key: "k", Value: want, Version: 1}}}, true)
+	m := a.Since(1, 0)
+	if n := len(m.Rows[0].Value); n > len(want)/10 {
+		t.Errorf("%d of %d bytes are sent", n, len(want))
+	}
+	if _, err := b.Merge(2, m); err != nil || !bytes.Equal(b.rows["k"].value, want) {
+		t.Errorf("Merge() = %v", err)
+	}
+	m.Rows[0].Value = m.Rows[0].Value[:20]
+	if _, err := New(nil).Merge(2, m); err == nil {
+		t.Error("a spoiled row is taken")
+	}
+}
