Test late grants, lost keepers and store outages through whole instances

With the rise of the fence before a release switched off, TestLateGrants sees keys held by two targets. Found on the way: a metric that can't be registered ended the process; it is now logged.

--- a/internal/gate/meter/meter.go
+++ b/internal/gate/meter/meter.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -26,9 +28,12 @@
 	text   http.Handler
 }
 
-// New returns a Meter.
-func New() *Meter {
-	r := prometheus.NewReporter(prometheus.Options{})
+// New returns a Meter. A series that can't be registered is logged and left out.
+func New(l zerolog.Logger) *Meter {
+	g := client.NewRegistry()
+	r := prometheus.NewReporter(prometheus.Options{Registerer: g, Gatherer: g, OnRegisterError: func(err error) {
+		l.Warn().Str("event", "metric-refused").Err(err).Msg("")
+	}})
 	s, c := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "dandelionrock", CachedReporter: r, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
--- a/internal/gate/router/router.go
+++ b/internal/gate/router/router.go
@@ -117,7 +117,7 @@
 	n.spread = spread.New(n.self, n.store, n.pool, n.alive, l)
 	n.owners = &keys.Owners{}
 	n.lines = line.New()
-	n.meter = meter.New()
+	n.meter = meter.New(l)
 	n.homes = group.New(n.spread, n.lines, l, n.meter)
 	n.entry = entry.New(entry.Options{
 		Self: n.self, Views: n.spread, Homes: n.homes, Pool: n.pool, Alive: n.alive, Owners: n.owners, Regions: s.Regions,
--- /dev/null
+++ b/internal/gate/router/router_test.go
@@ -0,0 +1,231 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dandelionrock.example/dandelionrock/platform"
+	"dandelionrock.example/dandelionrock/platform/mimic"
+	"github.com/rs/zerolog"
+)
+
+// system is a store, targets and instances in this process.
+type system struct {
+	t       *testing.T
+	store   *mimic.Store
+	ledger  *mimic.Ledger
+	targets map[string]*mimic.Target
+	ips     []string
+	stops   []context.CancelFunc
+	ended   []chan struct{}
+	next    atomic.Int64
+}
+
+// network is the part of loopback that a test uses.
+var network atomic.Int64
+
+func newSystem(t *testing.T, instances int) *system {
+	t.Helper()
+	s := &system{t: t, ledger: mimic.NewLedger(), targets: map[string]*mimic.Target{}}
+	var err error
+	if s.store, err = mimic.NewStore("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	s.store.Put(platform.TableDesired, platform.KeyDesired, mimic.Configuration(1, ""))
+	n := network.Add(1)
+	for i := range instances {
+		s.ips = append(s.ips, fmt.Sprintf("127.%d.%d.%d", 10+n, os.Getpid()%250, i+1))
+	}
+	t.Cleanup(s.close)
+	return s
+}
+
+func (s *system) addTarget(v *mimic.Target) {
+	s.t.Helper()
+	if err := v.Start("127.0.0.1:0", s.store, s.ledger); err != nil {
+		s.t.Fatal(err)
+	}
+	s.targets[v.ID] = v
+}
+
+func (s *system) quotes(n int) {
+	for i := range n {
+		s.addTarget(&mimic.Target{ID: fmt.Sprint("q", i), Service: "quotes", Domain: "a1", Keyed: true, Slots: 2, Work: 5 * time.Millisecond})
+	}
+}
+
+func (s *system) start(i int) {
+	s.t.Helper()
+	f := filepath.Join(s.t.TempDir(), "settings")
+	if err := os.WriteFile(f, []byte(mimic.Settings(fmt.Sprint("i", i), s.ips[i], []string{"a1", "a2", "b1"}[i%3], []string{"a", "a", "b"}[i%3], s.store.Address())), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	read := func() (*platform.Settings, error) { return platform.ReadSettings(func(string) string { return f }) }
+	set, err := read()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	c, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	s.stops, s.ended = append(s.stops, stop), append(s.ended, done)
+	go func() {
+		defer close(done)
+		if err := Run(c, set, Options{Log: zerolog.New(io.Discard), Reload: make(chan os.Signal), Read: read, Changed: func() bool { return false }}); err != nil {
+			s.t.Error(err)
+		}
+	}()
+}
+
+func (s *system) close() {
+	for _, stop := range s.stops {
+		stop()
+	}
+	for _, e := range s.ended {
+		<-e
+	}
+	for _, v := range s.targets {
+		v.Kill()
+	}
+	_ = s.store.Close()
+	for _, f := range s.ledger.Faults() {
+		s.t.Error(f)
+	}
+}
+
+// call sends a request and returns the status and body.
+func (s *system) call(i int, method, service string, key int) (int, string, error) {
+	id := fmt.Sprint("call-", s.next.Add(1))
+	q, err := http.NewRequest(method, "http://"+s.ips[i]+":18001/"+service+"/x", strings.NewReader("body"))
+	if err != nil {
+		return 0, "", err
+	}
+	q.Host = "example"
+	q.Header.Set(platform.HeaderAttempt, id)
+	q.Header.Set(platform.HeaderDeadline, "3000")
+	q.Header.Set(platform.HeaderKey, fmt.Sprint(key))
+	h := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	a, err := h.Do(q)
+	if err != nil {
+		return 0, "", err
+	}
+	defer a.Body.Close()
+	b, err := io.ReadAll(a.Body)
+	return a.StatusCode, string(b), err
+}
+
+// await calls until a request is served.
+func (s *system) await(i int, service string, key int) {
+	s.t.Helper()
+	var status int
+	var err error
+	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if status, _, err = s.call(i, http.MethodGet, service, key); status == http.StatusOK {
+			return
+		}
+	}
+	s.t.Fatalf("no request for %s is served at instance %d: status %d, %v", service, i, status, err)
+}
+
+// Guards the whole path: a keyed request and an order through either instance,
+// and the answers to what can't be served.
+func TestWholePath(t *testing.T) {
+	s := newSystem(t, 2)
+	s.quotes(3)
+	s.addTarget(&mimic.Target{ID: "o", Service: "orders", Domain: "b1", NonIdempotent: true, Slots: 2, Work: 5 * time.Millisecond})
+	s.start(0)
+	s.start(1)
+	for i := range 2 {
+		s.await(i, "quotes", 1000)
+		s.await(i, "quotes", 60000)
+		if status, body, err := s.call(i, http.MethodPost, "orders", 0); status != http.StatusOK || !strings.HasSuffix(body, " by o") {
+			t.Errorf("order through instance %d: %d %q %v", i, status, body, err)
+		}
+		if status, _, _ := s.call(i, http.MethodGet, "none", 0); status != http.StatusNotFound {
+			t.Errorf("request without a route gets %d", status)
+		}
+		if status, _, _ := s.call(i, http.MethodGet, "terms", 0); status != http.StatusServiceUnavailable {
+			t.Errorf("request for a service without targets gets %d", status)
+		}
+	}
+}
+
+// Guards against keys with two owners when grants are applied late: a target
+// that lost keys must refuse a grant that it receives afterwards.
+func TestLateGrants(t *testing.T) {
+	s := newSystem(t, 2)
+	s.quotes(4)
+	for _, v := range s.targets {
+		v.LateGrants, v.LateBy = 0.3, 1500*time.Millisecond
+	}
+	s.start(0)
+	s.start(1)
+	s.await(0, "quotes", 1)
+	var g sync.WaitGroup
+	end := time.Now().Add(9 * time.Second)
+	for n := range 8 {
+		g.Go(func() {
+			for i := n; time.Now().Before(end); i += 8 {
+				_, _, _ = s.call(i%2, http.MethodGet, "quotes", i*7919%(platform.MaxKey+1))
+			}
+		})
+	}
+	// Two targets leave one after the other; each may have pending grants.
+	for n := range 2 {
+		s.targets[fmt.Sprint("q", n)].Leave()
+		time.Sleep(4 * time.Second)
+	}
+	g.Wait()
+}
+
+// Guards against keys that stay without service when their keeper is lost, and
+// against two owners meanwhile.
+func TestKeeperLeaves(t *testing.T) {
+	s := newSystem(t, 3)
+	s.quotes(3)
+	for i := range 3 {
+		s.start(i)
+	}
+	s.await(0, "quotes", 1)
+	s.stops[0]()
+	s.stops[1]()
+	s.await(2, "quotes", 1)
+	s.await(2, "quotes", 65535)
+}
+
+// Guards against a store outage that stops requests, and against a storm of
+// calls when it ends.
+func TestStoreOutage(t *testing.T) {
+	s := newSystem(t, 2)
+	s.quotes(2)
+	s.addTarget(&mimic.Target{ID: "o", Service: "orders", Domain: "a1", NonIdempotent: true, Slots: 2, Work: time.Millisecond})
+	s.start(0)
+	s.start(1)
+	s.await(0, "quotes", 1)
+	s.await(1, "quotes", 1)
+	s.store.Misbehave(mimic.Silent, nil)
+	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		for i := range 2 {
+			if status, _, err := s.call(i, http.MethodGet, "quotes", 1); status != http.StatusOK {
+				t.Errorf("quote during the outage: %d %v", status, err)
+			}
+			if status, _, err := s.call(i, http.MethodPost, "orders", 0); status != http.StatusOK {
+				t.Errorf("order during the outage: %d %v", status, err)
+			}
+		}
+	}
+	s.store.Misbehave(0, nil)
+	before := s.store.Calls()
+	time.Sleep(2 * time.Second)
+	if n := s.store.Calls() - before; n > 60 {
+		t.Errorf("%d calls in the two seconds after the outage", n)
+	}
+}
