Ask a live owner to release keys even if its grants have run out

A range stays without renewals during a long series of moves; if its owner's grants had run out by then, the keys counted as free and moved without the higher fence.

--- a/internal/gate/keep/move.go
+++ b/internal/gate/keep/move.go
@@ -135,6 +135,14 @@
 	return h.ended || now >= max(h.until, k.predecessorEnd)
 }
 
+// answers reports whether the owner of a range runs and can be asked to release
+// it. It must be asked even if its grants have run out: one of them may still
+// be on its way. The caller holds mu.
+func (k *Keeper) answers(v *view.View, r *schema.KeyRange) bool {
+	t := v.Targets[r.Target]
+	return t != nil && t.Born == r.Born && !k.holding(r).ended
+}
+
 // reachable reports whether it is worth asking the owner of a range to release
 // it: it was last asked a while ago. The caller holds mu.
 func (k *Keeper) reachable(now clock.Time, v *view.View, r *schema.KeyRange) bool {
@@ -235,7 +243,7 @@
 	k.mu.Lock()
 	h := k.holding(r)
 	t, ok := k.address(v, r)
-	if k.free(clock.Boot(), v, r) {
+	if k.free(clock.Boot(), v, r) && !k.answers(v, r) {
 		k.mu.Unlock()
 		return handover{ok: true}
 	}
