Let dead owners of keys hold up nothing else

Targets that are gone are asked by themselves, more rarely and for 0.8 s; small ranges stay whole; requests for keys whose owner has been gone for 0.7 s are refused at once with a time to return.

--- a/internal/gate/entry/entry.go
+++ b/internal/gate/entry/entry.go
@@ -69,6 +69,8 @@
 	turns map[string]uint64
 	// counts holds what is reported to the keepers, by service.
 	counts map[string]*counts
+	// absent holds since when the owners of keys are found gone, by their runs.
+	absent map[string]clock.Time
 	// deadlines holds the longest deadline seen on each route: a shorter one is
 	// that of a client that returns.
 	deadlines map[string]time.Duration
@@ -78,7 +80,7 @@
 func New(o Options) *Entry {
 	return &Entry{
 		Options: o, budgets: map[string]*budget.Budget{}, turns: map[string]uint64{}, counts: map[string]*counts{},
-		deadlines: map[string]time.Duration{},
+		deadlines: map[string]time.Duration{}, absent: map[string]clock.Time{},
 	}
 }
 
--- a/internal/gate/entry/request.go
+++ b/internal/gate/entry/request.go
@@ -27,6 +27,13 @@
 	// keyWait is how long a request waits for an owner of its key before it is
 	// refused, and at most a part of its objective.
 	keyWait = 400 * time.Millisecond
+	// orphanAfter is the time after which the keys of a target that is gone are
+	// not expected to get another owner within keyWait: its last grant must run
+	// out first, or the store doesn't answer.
+	orphanAfter = 700 * time.Millisecond
+	// retryOrphan is when a request for such keys may come back; a grant lasts
+	// three seconds.
+	retryOrphan = 1200 * time.Millisecond
 	// retryMoving is when a request for a key without an owner may come back.
 	retryMoving = 300 * time.Millisecond
 	// retryLost is when a request may come back whose home was lost.
@@ -158,8 +165,14 @@
 		n, changed := e.Owners.Find(clock.Boot(), q.service.Name, q.key)
 		if n != nil && !slices.Contains(q.exclude, q.ownerID(n)) {
 			if t := e.Views.View().Targets[n.Target]; t != nil && t.Born == n.Born && !t.Leaving {
+				e.found(n)
 				return group.Key{Service: q.service.Name, Target: t.ID}, e.place(t.FailureDomain), true
 			}
+			if e.lost(n) {
+				q.retry = retryOrphan
+				q.giveUp("owner-lost")
+				return group.Key{}, peer.Place{}, false
+			}
 		}
 		select {
 		case <-changed:
@@ -173,6 +186,31 @@
 	}
 }
 
+// lost reports whether the owner of a range has been gone for some time.
+func (e *Entry) lost(n *schema.KeyRange) bool {
+	now, k := clock.Boot(), runOf(n)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	since, ok := e.absent[k]
+	if !ok {
+		e.absent[k] = now
+		return false
+	}
+	return now.Sub(since) > orphanAfter
+}
+
+// found forgets that the owner of a range was gone.
+func (e *Entry) found(n *schema.KeyRange) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.absent) > 0 {
+		delete(e.absent, runOf(n))
+	}
+}
+
+// runOf names the run of a target that owns a range.
+func runOf(n *schema.KeyRange) string { return n.Target + "/" + strconv.FormatInt(n.Born, 10) }
+
 // ownerID names an owner of a range under one fence: a target that rejected a
 // request for a key may get it under a higher fence.
 func (q *request) ownerID(n *schema.KeyRange) string {
--- a/internal/gate/keep/keep.go
+++ b/internal/gate/keep/keep.go
@@ -46,8 +46,11 @@
 	authority = 12 * time.Second
 	// grantTimeout bounds one grant.
 	grantTimeout = 700 * time.Millisecond
-	// releaseTimeout bounds one release, which waits for the work in progress.
-	releaseTimeout = 2 * time.Second
+	// releaseTimeout bounds one release with the grants before it; a release
+	// waits for the work in progress.
+	releaseTimeout = 2500 * time.Millisecond
+	// goneTimeout bounds that of a target that is gone from the store.
+	goneTimeout = 800 * time.Millisecond
 	// rebalanceInterval is the time between looks at the load.
 	rebalanceInterval = time.Second
 	// minMoves bounds the moves of one look, and movesShare does so for many
--- a/internal/gate/keep/move.go
+++ b/internal/gate/keep/move.go
@@ -112,16 +112,23 @@
 	}
 }
 
-// ripe returns the moves whose owners can be asked for their keys, or can't
-// hold them any more.
+// ripe returns the moves that can be made now: those whose owners answer, or
+// can't hold their keys any more. Without any, it returns those whose owners are
+// gone from the store and may still be reached; asking them takes long.
 func (k *Keeper) ripe(now clock.Time, v *view.View, moves []keys.Move) []keys.Move {
-	var out []keys.Move
+	var ready, gone []keys.Move
 	for _, m := range moves {
-		if k.free(now, v, m.Range) || k.reachable(now, v, m.Range) {
-			out = append(out, m)
+		switch {
+		case k.free(now, v, m.Range), k.answers(v, m.Range) && k.askable(now, v, m.Range, askInterval):
+			ready = append(ready, m)
+		case !k.answers(v, m.Range) && k.askable(now, v, m.Range, askGoneInterval):
+			gone = append(gone, m)
 		}
 	}
-	return out
+	if len(ready) > 0 {
+		return ready
+	}
+	return gone
 }
 
 // free reports whether the owner of a range holds no keys any more: it runs
@@ -143,18 +150,19 @@
 	return t != nil && t.Born == r.Born && !k.holding(r).ended
 }
 
-// reachable reports whether it is worth asking the owner of a range to release
-// it: it was last asked a while ago. The caller holds mu.
-func (k *Keeper) reachable(now clock.Time, v *view.View, r *schema.KeyRange) bool {
-	h := k.holding(r)
-	if _, ok := k.address(v, r); !ok {
-		return false
-	}
-	return now.Sub(h.asked) >= askInterval
+// askable reports whether the owner of a range has an address and was last asked
+// to release it a while ago. The caller holds mu.
+func (k *Keeper) askable(now clock.Time, v *view.View, r *schema.KeyRange, interval time.Duration) bool {
+	_, ok := k.address(v, r)
+	return ok && now.Sub(k.holding(r).asked) >= interval
 }
 
-// askInterval is the time between two tries to make a target release keys.
-const askInterval = time.Second
+// askInterval is the time between two tries to make a target release keys, and
+// askGoneInterval that for a target that is gone from the store.
+const (
+	askInterval     = time.Second
+	askGoneInterval = 3 * time.Second
+)
 
 // address returns where a run of a target was seen last; the caller holds mu.
 func (k *Keeper) address(v *view.View, r *schema.KeyRange) (*platform.Target, bool) {
@@ -248,10 +256,16 @@
 		return handover{ok: true}
 	}
 	h.asked = clock.Boot()
+	limit := goneTimeout
+	if k.answers(v, r) {
+		limit = releaseTimeout
+	}
 	k.mu.Unlock()
 	if !ok {
 		return handover{}
 	}
+	c, stop := context.WithTimeout(c, limit)
+	defer stop()
 	h.calls.Lock()
 	defer h.calls.Unlock()
 	n, err := k.raiseFence(c, tenure, h, t, r)
@@ -262,8 +276,6 @@
 		k.log.Warn().Str("event", "grant-failed").Str("target", r.Target).Uint64("fence", r.Fence).Uint32("from", r.From).Err(err).Msg("")
 		return handover{}
 	}
-	c, stop := context.WithTimeout(c, releaseTimeout)
-	defer stop()
 	s, err := k.granter.Release(c, platform.Run{ID: t.ID, Address: t.Address}, keysOf(n))
 	if errors.Is(err, platform.ErrReplaced) {
 		return handover{ok: true}
--- a/internal/plan/keys/plan.go
+++ b/internal/plan/keys/plan.go
@@ -28,9 +28,11 @@
 	busy = 0.5
 	// maxRanges bounds the ranges of one target, which are granted one by one.
 	maxRanges = 12
-	// scatterPieces is the number of pieces into which the keys of a lost target
-	// are divided, so that no single target doubles its load.
-	scatterPieces = 4
+	// pieceLoad is the utilisation of a target that is worth a piece of its own
+	// when the keys of a lost target are divided, and maxPieces the highest
+	// number of pieces of one range: each range is granted and moved by itself.
+	pieceLoad = 0.15
+	maxPieces = 4
 	// minGain is the smallest utilisation that is worth a move.
 	minGain = 0.05
 )
@@ -126,7 +128,7 @@
 func (p *plan) split(r *schema.KeyRange) []*schema.KeyRange {
 	var out []*schema.KeyRange
 	rest := r
-	for n := scatterPieces; n > 1 && rest.From < rest.To; n-- {
+	for n := min(int(p.rate(r)/p.members[p.lowest()].Weight/pieceLoad)+1, maxPieces); n > 1 && rest.From < rest.To; n-- {
 		to := p.until(rest, p.rate(rest)/float64(n))
 		if to >= rest.To {
 			break
