--- a/internal/gate/entry/request.go
+++ b/internal/gate/entry/request.go
@@ -92,6 +92,10 @@
 		q.reply = a
 		return
 	}
+	if err != nil || a.Outcome == schema.SendOutcome_SEND_OUTCOME_UNKNOWN {
+		q.sent++
+		q.ran = true
+	}
 	q.fail(http.StatusGatewayTimeout, "deadline", 0)
 }
 
@@ -180,7 +184,7 @@
 			q.giveUp("no-owner")
 			return group.Key{}, peer.Place{}, false
 		case <-c.Done():
-			q.expire(nil, c.Err())
+			q.fail(http.StatusGatewayTimeout, "deadline", 0)
 			return group.Key{}, peer.Place{}, false
 		}
 	}
--- a/internal/gate/keep/grant.go
+++ b/internal/gate/keep/grant.go
@@ -49,6 +49,7 @@
 	c, stop := context.WithTimeout(c, grantTimeout)
 	defer stop()
 	k.mu.Lock()
+	before := h.until
 	h.until = max(h.until, clock.Boot().Add(grantTimeout+drift.Stretch(hold)+holdMargin))
 	k.mu.Unlock()
 	err := k.granter.Grant(c, at, keysOf(r), hold, handover)
@@ -63,6 +64,8 @@
 	case err == nil:
 	case errors.Is(err, platform.ErrReplaced):
 		h.ended = true
+	case errors.Is(err, platform.ErrNotSent):
+		h.until = before
 	case errors.Is(err, platform.ErrFenced):
 		k.fenced = true
 	default:
--- a/internal/gate/keep/keep.go
+++ b/internal/gate/keep/keep.go
@@ -100,8 +100,11 @@
 	fenced bool
 	// predecessorEnd is when the grants of an earlier keeper have run out.
 	predecessorEnd clock.Time
-	rebalanced     clock.Time
-	load           keys.Load
+	// predecessor and predecessorRun name the run of an instance that may still
+	// act as the keeper; empty if there is none.
+	predecessor, predecessorRun string
+	rebalanced                  clock.Time
+	load                        keys.Load
 	// ratings tells how the targets deal with requests, by id.
 	ratings map[string]*rating
 	watch   watch
@@ -190,6 +193,7 @@
 	m, known := v.Maps[k.service]
 	k.mu.Lock()
 	k.compare(m, known)
+	k.shorten(now, v)
 	acting := k.row != nil
 	k.mu.Unlock()
 	if !acting {
--- a/internal/gate/keep/move.go
+++ b/internal/gate/keep/move.go
@@ -303,12 +303,13 @@
 	}
 	var err error
 	for range raiseTries {
-		n, ok := k.raise(tenure, r)
+		n, ok := k.higher(tenure, r)
 		if !ok {
 			return nil, errNotKeeper
 		}
 		err = k.grant(c, h, platform.Run{ID: t.ID, Address: t.Address}, n, "")
 		if err == nil {
+			k.raise(tenure, n)
 			return n, nil
 		}
 		if errors.Is(err, platform.ErrReplaced) || errors.Is(err, platform.ErrFenced) {
@@ -321,8 +322,8 @@
 // errNotKeeper reports that the instance is no longer the keeper.
 var errNotKeeper = errors.New("not the keeper any more")
 
-// raise gives a range a higher fence of the present epoch.
-func (k *Keeper) raise(tenure int, r *schema.KeyRange) (*schema.KeyRange, bool) {
+// higher returns a range with a higher fence of the present epoch.
+func (k *Keeper) higher(tenure int, r *schema.KeyRange) (*schema.KeyRange, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.row == nil || k.tenure != tenure {
@@ -331,9 +332,20 @@
 	k.raised++
 	n := proto.CloneOf(r)
 	n.Fence = firstFence(k.row.Epoch) + k.raised
+	return n, true
+}
+
+// raise records the fence that a target has acknowledged. A fence without an
+// answer is not recorded: should it come into force, the next renewal under the
+// old one is refused, and all fences are raised.
+func (k *Keeper) raise(tenure int, n *schema.KeyRange) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.row == nil || k.tenure != tenure {
+		return
+	}
 	k.row.Ranges = keys.Ranges(k.row.Ranges).Replace(n)
 	k.paused[n.From] = true
-	return n, true
 }
 
 // fenceBits is the part of a fence that counts the grants with which a keeper
--- a/internal/gate/keep/watch.go
+++ b/internal/gate/keep/watch.go
@@ -171,6 +171,17 @@
 	k.group.Go(func() { k.takeOverOnce(c, n, m, ended, silent) })
 }
 
+// shorten ends the wait for a predecessor's authority once it has started again,
+// so that its former run can grant nothing any more; the caller holds mu.
+func (k *Keeper) shorten(now clock.Time, v *view.View) {
+	n := v.Incarnations[k.predecessor]
+	if k.predecessor == "" || n == "" || n == k.predecessorRun {
+		return
+	}
+	k.predecessor = ""
+	k.predecessorEnd = min(k.predecessorEnd, now.Add(drift.Stretch(hold)+holdMargin))
+}
+
 func (k *Keeper) takeOverOnce(c context.Context, n *schema.KeyMap, m view.Map, ended bool, silent time.Duration) {
 	version, sent, err := k.commit(c, n, m.Version)
 	k.mu.Lock()
@@ -185,12 +196,13 @@
 	k.row, k.version, k.confirmed = proto.CloneOf(n), version, sent
 	k.holds, k.paused, k.seen = map[owner]*holding{}, map[uint32]bool{}, map[owner]*platform.Target{}
 	k.moving, k.fenced, k.raised = false, false, 0
-	k.predecessorEnd = now
+	k.predecessorEnd, k.predecessor = now, ""
 	if m.Keeper != "" {
 		k.predecessorEnd = now.Add(drift.Stretch(hold) + holdMargin)
 	}
 	if !ended {
 		k.predecessorEnd = k.predecessorEnd.Add(drift.Stretch(authority))
+		k.predecessor, k.predecessorRun = m.Keeper, m.Incarnation
 	}
 	k.log.Info().Str("event", "keeper-took-over").Uint64("epoch", n.Epoch).Str("from", m.Keeper).Bool("ended", ended).Dur("silent", silent).Msg("")
 }
--- a/internal/state/spread/spread.go
+++ b/internal/state/spread/spread.go
@@ -378,7 +378,7 @@
 	age := s.copies[targets].Age(clock.Boot())
 	s.mu.Unlock()
 	switch {
-	case age > farAfter:
+	case age > farAfter, age > staleAfter && len(n) <= 1:
 		n = s.alive.Nearest(s.View(), "reader/"+s.self.Region, peer.Place{Region: s.self.Region})
 	case age > staleAfter:
 	default:
