Leaving homes take no requests; no answer without a client; shorter watches

A leaving home now refuses requests of others, which go to the next home, and ends once its replies are written.

The handler now breaks the connection off, and the end of the process cancels no request. TestNoAnswerWithoutClient fails without it.

Watches end when the reads of the targets fail.

--- a/internal/gate/entry/entry.go
+++ b/internal/gate/entry/entry.go
@@ -128,8 +128,9 @@
 	defer stop()
 	q.serve(c)
 	if r.Context().Err() != nil {
+		// A return would be taken for an empty answer with status 200.
 		e.Log.Debug().Str("event", "client-gone").Str("request", q.attempt).Msg("")
-		return
+		panic(http.ErrAbortHandler)
 	}
 	q.respond(w)
 }
--- /dev/null
+++ b/internal/gate/entry/entry_test.go
@@ -0,0 +1,119 @@
+package entry
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"dandelionrock.example/dandelionrock/internal/gate/group"
+	"dandelionrock.example/dandelionrock/internal/gate/line"
+	"dandelionrock.example/dandelionrock/internal/gate/meter"
+	"dandelionrock.example/dandelionrock/internal/plan/keys"
+	"dandelionrock.example/dandelionrock/internal/state/alive"
+	"dandelionrock.example/dandelionrock/internal/state/view"
+	"dandelionrock.example/dandelionrock/peer"
+	"dandelionrock.example/dandelionrock/platform"
+	"dandelionrock.example/dandelionrock/platform/mimic"
+	"github.com/rs/zerolog"
+)
+
+// fixed gives one view.
+type fixed struct{ v *view.View }
+
+func (f fixed) View() *view.View { return f.v }
+
+func newEntry(t *testing.T, configured bool) *Entry {
+	t.Helper()
+	v := view.Empty()
+	if configured {
+		d, err := platform.DecodeDesired(mimic.Configuration(1, ""))
+		if err != nil {
+			t.Fatal(err)
+		}
+		v.Desired = d
+	}
+	m := meter.New(zerolog.Nop())
+	t.Cleanup(func() { _ = m.Close() })
+	self := peer.Instance{ID: "i"}
+	return New(Options{
+		Self: self, Views: fixed{v}, Homes: group.New(fixed{v}, line.New(), zerolog.Nop(), m), Alive: alive.New("i"),
+		Owners: &keys.Owners{}, Log: zerolog.Nop(), Meter: m, Leaving: func() bool { return false },
+	})
+}
+
+func get(host, path string) *http.Request {
+	r := httptest.NewRequest(http.MethodGet, "http://"+host+path, nil)
+	r.Header.Set(platform.HeaderAttempt, "a")
+	r.Header.Set(platform.HeaderDeadline, "1000")
+	r.Header.Set(platform.HeaderKey, "7")
+	return r
+}
+
+// Guards against refusals that say the wrong thing: 503 promises that nothing
+// ran and states when to return, 404 is for requests without a route.
+func TestRefusals(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		configured bool
+		host, path string
+		status     int
+	}{
+		{"no configuration", false, "example", "/terms/x", http.StatusServiceUnavailable},
+		{"no route for the host", true, "other", "/terms/x", http.StatusNotFound},
+		{"no route for the path", true, "example", "/term/x", http.StatusNotFound},
+		{"no target", true, "example", "/terms/x", http.StatusServiceUnavailable},
+		{"no owner", true, "example", "/quotes/x", http.StatusServiceUnavailable},
+	} {
+		w := httptest.NewRecorder()
+		newEntry(t, c.configured).ServeHTTP(w, get(c.host, c.path))
+		if w.Code != c.status || w.Header().Get(platform.HeaderAttempt) != "a" {
+			t.Errorf("%s: status %d, header %v", c.name, w.Code, w.Header())
+		}
+		if c.status == http.StatusServiceUnavailable && w.Header().Get("Retry-After") == "" {
+			t.Errorf("%s: no time to return", c.name)
+		}
+	}
+}
+
+// Guards against an empty answer with status 200, which net/http sends for a
+// handler that returns without one.
+func TestNoAnswerWithoutClient(t *testing.T) {
+	c, stop := context.WithCancel(context.Background())
+	stop()
+	defer func() {
+		if r := recover(); r != http.ErrAbortHandler {
+			t.Errorf("the handler ended with %v", r)
+		}
+	}()
+	newEntry(t, true).ServeHTTP(httptest.NewRecorder(), get("example", "/quotes/x").WithContext(c))
+}
+
+// Guards against a split that strays from its weights.
+func TestSplit(t *testing.T) {
+	e := newEntry(t, true)
+	r := &platform.Route{Name: "r", Split: []platform.Part{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	n := 0
+	for range 1000 {
+		if e.pick(r) == "b" {
+			n++
+		}
+	}
+	if math.Abs(float64(n)-100) > 10 {
+		t.Errorf("%d of 1000 requests go to a part of 10%%", n)
+	}
+}
+
+// Guards against a returning client that is treated as if it had just come.
+func TestObjectiveOfReturningClient(t *testing.T) {
+	e := newEntry(t, true)
+	r := &platform.Route{Name: "r", Objective: 800 * time.Millisecond}
+	if got := e.objective(r, 5*time.Second); got != 800*time.Millisecond {
+		t.Errorf("objective of a new client is %v", got)
+	}
+	if got := e.objective(r, 4500*time.Millisecond); got != 300*time.Millisecond {
+		t.Errorf("objective of a returning client is %v", got)
+	}
+}
--- a/internal/gate/entry/request.go
+++ b/internal/gate/entry/request.go
@@ -237,6 +237,9 @@
 	e.loads.Begin(k.Service, k.FailureDomain)
 	a := &schema.SendReply{}
 	err := e.call(c, i, m, a)
+	if err == nil && a.Reason == group.ReasonLeaving && e.Alive.Suspect(i) {
+		e.Log.Info().Str("event", "instance-leaves").Str("peer", i.ID).Str("request", m.AttemptId).Msg("")
+	}
 	var l *pool.Load
 	if a.Load != nil {
 		l = &pool.Load{Slots: int(a.Load.Slots), Running: int(a.Load.Running), Waiting: int(a.Load.Waiting), Mean: time.Duration(a.Load.ServiceMs) * time.Millisecond}
@@ -249,10 +252,12 @@
 }
 
 // home returns the instance that sends to a group: this one, if no other is
-// known.
+// known. A leaving instance sends only if there is no other.
 func (e *Entry) home(k group.Key, at peer.Place) peer.Instance {
-	if n := e.Alive.Nearest(e.Views.View(), k.Name(), at); len(n) > 0 {
-		return n[0]
+	for _, i := range e.Alive.Nearest(e.Views.View(), k.Name(), at) {
+		if i.ID != e.Self.ID || !e.Leaving() {
+			return i
+		}
 	}
 	return e.Self
 }
@@ -362,6 +367,9 @@
 func (q *request) againAfterRefusal(a *schema.SendReply, k group.Key) bool {
 	q.unsent++
 	q.fail(http.StatusServiceUnavailable, a.Reason, time.Duration(a.RetryMs)*time.Millisecond)
+	if a.Reason == group.ReasonLeaving {
+		return q.unsent < maxUnsent
+	}
 	if q.service.Keyed {
 		if a.Reason != pool.ReasonNoTarget {
 			return false
--- a/internal/gate/group/group.go
+++ b/internal/gate/group/group.go
@@ -19,6 +19,9 @@
 	"github.com/rs/zerolog"
 )
 
+// ReasonLeaving is why a home refuses requests when it is shutting down.
+const ReasonLeaving = "home-leaving"
+
 // Key identifies a group.
 type Key struct{ Service, FailureDomain, Target string }
 
--- a/internal/gate/keep/watch.go
+++ b/internal/gate/keep/watch.go
@@ -145,7 +145,7 @@
 			w.silent = now
 		}
 		k.log.Debug().Str("event", "keeper-silent").Str("instance", i.ID).Err(err).Msg("")
-	case a.Incarnation != w.incarnation || a.Leaving && k.spread.Age() < freshAge:
+	case a.Incarnation != w.incarnation || a.Leaving || a.StoreLost && k.spread.Age() < freshAge:
 		w.ended = now
 	default:
 		w.silent = 0
--- a/internal/gate/router/duty.go
+++ b/internal/gate/router/duty.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dandelionrock.example/dandelionrock/clock"
+	"dandelionrock.example/dandelionrock/internal/gate/group"
 	"dandelionrock.example/dandelionrock/internal/gate/keep"
 	"dandelionrock.example/dandelionrock/internal/gate/line"
 	"dandelionrock.example/dandelionrock/internal/state/view"
@@ -34,8 +35,15 @@
 // gate receives the calls of other instances.
 type gate struct{ n *Instance }
 
-// Send executes a request.
-func (g *gate) Send(q *schema.SendRequest, a *schema.SendReply) error { return g.n.homes.Send(q, a) }
+// Send executes a request. A leaving instance takes none: it could end before
+// the answer has come.
+func (g *gate) Send(q *schema.SendRequest, a *schema.SendReply) error {
+	if g.n.leaving.Load() {
+		a.Outcome, a.Reason = schema.SendOutcome_SEND_OUTCOME_REFUSED, group.ReasonLeaving
+		return nil
+	}
+	return g.n.homes.Send(q, a)
+}
 
 // Withdraw ends a request whose client has gone.
 func (g *gate) Withdraw(q *schema.WithdrawRequest, a *schema.Empty) error {
@@ -55,7 +63,8 @@
 // Ping tells which run of the instance answers, and whether others should take
 // over its duties.
 func (g *gate) Ping(_ *schema.PingRequest, a *schema.PingReply) error {
-	a.Incarnation, a.Leaving = g.n.self.Incarnation, g.n.leaving.Load() || g.n.spread.Age() > storeLost
+	a.Incarnation, a.Leaving = g.n.self.Incarnation, g.n.leaving.Load()
+	a.StoreLost = g.n.spread.Age() > storeLost
 	return nil
 }
 
@@ -202,7 +211,7 @@
 	defer stop()
 	var a schema.PingReply
 	err := n.pool.Call(c, i.RPCAddress, "Gate.Ping", &schema.PingRequest{InstanceId: n.self.ID}, &a)
-	if err == nil && a.Incarnation == i.Incarnation {
+	if err == nil && a.Incarnation == i.Incarnation && !a.Leaving {
 		if n.alive.Clear(i.ID) {
 			n.log.Info().Str("event", "instance-regained").Str("peer", i.ID).Msg("")
 		}
--- a/internal/gate/router/router.go
+++ b/internal/gate/router/router.go
@@ -156,7 +156,7 @@
 	n.client = edge.NewServer(f, n.entry)
 	n.ready = &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: time.Second}
 	n.group.Go(func() { n.report("rpc", n.server.Serve(p)) })
-	n.group.Go(func() { n.report("client", n.client.Start(c)) })
+	n.group.Go(func() { n.report("client", n.client.Start(context.Background())) })
 	n.group.Go(func() { n.report("ready", n.ready.Serve(r)) })
 	n.spread.Start()
 	n.group.Go(func() { n.register(c) })
@@ -236,8 +236,16 @@
 	if err := n.client.Stop(c); err != nil {
 		n.log.Warn().Str("event", "requests-cut").Err(err).Msg("")
 	}
-	for n.homes.Busy() > 0 && c.Err() == nil {
-		time.Sleep(20 * time.Millisecond)
+	// The server tells other instances to send no more calls, and ends once the
+	// replies to those in progress are written.
+	done := make(chan struct{})
+	n.group.Go(func() {
+		n.report("rpc", n.server.Close())
+		close(done)
+	})
+	select {
+	case <-done:
+	case <-c.Done():
 	}
 }
 
--- a/internal/state/spread/spread.go
+++ b/internal/state/spread/spread.go
@@ -90,9 +90,13 @@
 
 	mu     sync.Mutex
 	copies [tables]*mirror.Table
+	// watches ends the reads in progress.
+	watches [tables]context.CancelFunc
 	// steppedIn is when this instance last stepped in for the readers.
 	steppedIn clock.Time
 
+	// failing is set while the reads of the targets fail.
+	failing atomic.Bool
 	// source counts the pulls.
 	source int
 	group  sync.WaitGroup
@@ -236,12 +240,15 @@
 }
 
 // once makes one read and returns the pause until the next.
-func (r *reader) once(c context.Context) time.Duration {
-	s := r.spread
+func (r *reader) once(parent context.Context) time.Duration {
+	s, c := r.spread, parent
 	s.mu.Lock()
 	now := clock.Boot()
 	v, known, age := s.copies[r.table].Version(), s.copies[r.table].Known(), s.copies[r.table].Age(now)
+	c, stop := context.WithCancel(c)
+	s.watches[r.table] = stop
 	s.mu.Unlock()
+	defer stop()
 	whole := r.whole || !known
 	var rows platform.Rows
 	var err error
@@ -251,7 +258,7 @@
 		rows, err = s.store.Changes(c, names[r.table], v, r.wait())
 	}
 	switch {
-	case c.Err() != nil:
+	case parent.Err() != nil:
 		return 0
 	case errors.Is(err, platform.ErrForgotten):
 		s.log.Warn().Str("event", "store-history-lost").Str("table", string(names[r.table])).Uint64("version", uint64(v)).Msg("")
@@ -270,6 +277,9 @@
 
 // wait returns how long a read waits for a change.
 func (r *reader) wait() time.Duration {
+	if r.spread.failing.Load() {
+		return 0
+	}
 	switch r.table {
 	case desired:
 		return watchDesired
@@ -305,6 +315,9 @@
 		r.returned, r.whole = now, true
 	}
 	r.failures, r.last = 0, now
+	if r.table == targets {
+		r.spread.failing.Store(false)
+	}
 }
 
 func (r *reader) failed(now clock.Time, err error) time.Duration {
@@ -312,10 +325,27 @@
 		r.spread.log.Warn().Str("event", "store-lost").Str("table", string(names[r.table])).Err(err).Dur("since", now.Sub(r.last)).Msg("")
 	}
 	r.failures++
+	if r.table == targets {
+		r.spread.abandonWatches()
+	}
 	d := min(minBackOff<<min(r.failures-1, 4), maxBackOff)
 	return d/2 + rand.N(d)
 }
 
+// abandonWatches ends the watches in progress when the store doesn't answer: they
+// would go on waiting on a connection that has gone silent. Until the store
+// answers again, reads don't wait for changes.
+func (s *Spread) abandonWatches() {
+	s.failing.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, stop := range s.watches {
+		if i != targets && stop != nil {
+			stop()
+		}
+	}
+}
+
 // apply adds an answer of the store to a copy.
 func (s *Spread) apply(asOf clock.Time, table int, r platform.Rows, whole, holdBack bool) {
 	s.mu.Lock()
