--- a/internal/gate/entry/entry.go
+++ b/internal/gate/entry/entry.go
@@ -53,6 +53,8 @@
 	Meter   *meter.Meter
 	// Leaving reports whether the instance is shutting down.
 	Leaving func() bool
+	// Age returns the age of what is known from the store.
+	Age func() time.Duration
 }
 
 // Entry handles the requests of clients. Use New.
@@ -177,7 +179,7 @@
 
 // newRequest returns the request to execute, or the reason why it can't be.
 func (e *Entry) newRequest(begin clock.Time, v *view.View, t *platform.Route, r *http.Request, body []byte) (*request, string) {
-	q := &request{entry: e, route: t, begin: begin, attempt: r.Header.Get(platform.HeaderAttempt)}
+	q := &request{entry: e, route: t, config: v.Desired.Version, begin: begin, attempt: r.Header.Get(platform.HeaderAttempt)}
 	deadline := defaultDeadline
 	if s := r.Header.Get(platform.HeaderDeadline); s != "" {
 		n, err := strconv.ParseInt(s, 10, 64)
--- a/internal/gate/entry/entry_test.go
+++ b/internal/gate/entry/entry_test.go
@@ -40,7 +40,7 @@
 	self := peer.Instance{ID: "i"}
 	return New(Options{
 		Self: self, Views: fixed{v}, Homes: group.New(fixed{v}, line.New(), zerolog.Nop(), m), Alive: alive.New("i"),
-		Owners: &keys.Owners{}, Log: zerolog.Nop(), Meter: m, Leaving: func() bool { return false },
+		Owners: &keys.Owners{}, Log: zerolog.Nop(), Meter: m, Leaving: func() bool { return false }, Age: func() time.Duration { return 0 },
 	})
 }
 
--- a/internal/gate/entry/request.go
+++ b/internal/gate/entry/request.go
@@ -44,15 +44,19 @@
 
 // request is one request of a client.
 type request struct {
-	entry     *Entry
-	route     *platform.Route
-	service   platform.Service
-	key       uint32
-	attempt   string
-	begin     clock.Time
-	objective clock.Time
-	end       clock.Time
-	message   schema.SendRequest
+	entry   *Entry
+	route   *platform.Route
+	service platform.Service
+	key     uint32
+	attempt string
+	// config is the version that the route was taken from; target and home are
+	// those of the last try.
+	config       uint64
+	target, home string
+	begin        clock.Time
+	objective    clock.Time
+	end          clock.Time
+	message      schema.SendRequest
 
 	// sent counts the targets that the request was sent to, unsent the tries
 	// that reached none.
@@ -167,6 +171,9 @@
 	defer limit.Stop()
 	for {
 		n, changed := e.Owners.Find(clock.Boot(), q.service.Name, q.key)
+		if n != nil {
+			q.target = n.Target
+		}
 		if n != nil && !slices.Contains(q.exclude, q.ownerID(n)) {
 			if t := e.Views.View().Targets[n.Target]; t != nil && t.Born == n.Born && !t.Leaving {
 				e.found(n)
@@ -234,6 +241,7 @@
 		m.Exclude = nil
 	}
 	i := e.home(k, at)
+	q.home = i.ID
 	e.loads.Begin(k.Service, k.FailureDomain)
 	a := &schema.SendReply{}
 	err := e.call(c, i, m, a)
@@ -245,6 +253,9 @@
 		l = &pool.Load{Slots: int(a.Load.Slots), Running: int(a.Load.Running), Waiting: int(a.Load.Waiting), Mean: time.Duration(a.Load.ServiceMs) * time.Millisecond}
 	}
 	e.loads.End(clock.Boot(), k.Service, k.FailureDomain, l)
+	if err == nil && a.Target != "" {
+		q.target = a.Target
+	}
 	if q.service.Keyed && err == nil {
 		e.countTarget(k, a)
 	}
@@ -440,7 +451,8 @@
 	q.entry.Meter.Request(q.service.Name, q.reason, took)
 	q.entry.Log.Info().Str("event", "request-failed").Str("request", q.attempt).Str("route", q.route.Name).Str("service", q.service.Name).
 		Int("status", q.status).Str("reason", q.reason).Dur("took", took).Int("sent", q.sent).Int("unsent", q.unsent).Bool("ran", q.ran).
-		Dur("retry-after", q.retry).Msg("")
+		Dur("retry-after", q.retry).Uint64("config", q.config).Uint32("key", q.key).Str("target", q.target).Str("home", q.home).
+		Dur("store-age", q.entry.Age()).Msg("")
 	respond(w, q.status, q.attempt, q.reason, q.retry)
 }
 
--- a/internal/gate/router/router.go
+++ b/internal/gate/router/router.go
@@ -121,7 +121,7 @@
 	n.homes = group.New(n.spread, n.lines, l, n.meter)
 	n.entry = entry.New(entry.Options{
 		Self: n.self, Views: n.spread, Homes: n.homes, Pool: n.pool, Alive: n.alive, Owners: n.owners, Regions: s.Regions,
-		Log: l, Meter: n.meter, Leaving: n.leaving.Load,
+		Log: l, Meter: n.meter, Leaving: n.leaving.Load, Age: n.spread.Age,
 	})
 	return n
 }
