--- a/clock/clock.go
+++ b/clock/clock.go
@@ -3,6 +3,7 @@
 package clock
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -48,3 +49,16 @@
 	}
 	return Time(t.Nano())
 }
+
+// Sleep waits until d has passed or c has ended.
+func Sleep(c context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-c.Done():
+	}
+}
--- /dev/null
+++ b/internal/gate/entry/call.go
@@ -0,0 +1,103 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"dandelionrock.example/dandelionrock/clock"
+	"dandelionrock.example/dandelionrock/internal/gate/group"
+	"dandelionrock.example/dandelionrock/internal/plan/pool"
+	"dandelionrock.example/dandelionrock/peer"
+	"dandelionrock.example/dandelionrock/schema"
+	"github.com/cockroachdb/errors"
+)
+
+// send asks the home of a group to execute the request.
+func (q *request) send(c context.Context, k group.Key, at peer.Place) (*schema.SendReply, error) {
+	e := q.entry
+	m := &q.message
+	now := clock.Boot()
+	m.Call = e.calls.Add(1)
+	m.FailureDomain, m.Target = k.FailureDomain, k.Target
+	m.Exclude = q.exclude
+	m.LeftMs, m.ObjectiveMs = q.end.Sub(now).Milliseconds(), q.objective.Sub(now).Milliseconds()
+	if q.service.Keyed {
+		m.Exclude = nil
+	}
+	i := e.home(k, at)
+	q.home = i.ID
+	e.loads.Begin(k.Service, k.FailureDomain)
+	a := &schema.SendReply{}
+	err := e.call(c, i, m, a)
+	if err == nil && a.Reason == group.ReasonLeaving && e.Alive.Suspect(i) {
+		e.Log.Info().Str("event", "instance-leaves").Str("peer", i.ID).Str("request", m.AttemptId).Msg("")
+	}
+	var l *pool.Load
+	if a.Load != nil {
+		l = &pool.Load{Slots: int(a.Load.Slots), Running: int(a.Load.Running), Waiting: int(a.Load.Waiting), Mean: time.Duration(a.Load.ServiceMs) * time.Millisecond}
+	}
+	e.loads.End(clock.Boot(), k.Service, k.FailureDomain, l)
+	if err == nil && a.Target != "" {
+		q.target = a.Target
+	}
+	if q.service.Keyed && err == nil {
+		e.countTarget(k, a)
+	}
+	return a, err
+}
+
+// home returns the instance that sends to a group: this one, if no other is
+// known. A leaving instance sends only if there is no other.
+func (e *Entry) home(k group.Key, at peer.Place) peer.Instance {
+	for _, i := range e.Alive.Nearest(e.Views.View(), k.Name(), at) {
+		if i.ID != e.Self.ID || !e.Leaving() {
+			return i
+		}
+	}
+	return e.Self
+}
+
+// call makes a call to a home. When the client has gone, the home is told.
+func (e *Entry) call(c context.Context, i peer.Instance, m *schema.SendRequest, a *schema.SendReply) error {
+	if i.ID == e.Self.ID {
+		return e.callSelf(c, m, a)
+	}
+	// The home ends the request at its deadline; its reply takes a little longer.
+	d, stop := context.WithTimeout(context.WithoutCancel(c), time.Duration(m.LeftMs)*time.Millisecond+homeMargin)
+	defer stop()
+	unhook := context.AfterFunc(c, func() {
+		if errors.Is(c.Err(), context.Canceled) {
+			e.withdraw(i, m.Call)
+			stop()
+		}
+	})
+	defer unhook()
+	err := e.Pool.Call(d, i.RPCAddress, "Gate.Send", m, a)
+	if err != nil && c.Err() == nil && e.Alive.Suspect(i) {
+		e.Log.Warn().Str("event", "instance-suspected").Str("instance", i.ID).Str("call", "send").Str("request", m.AttemptId).Err(err).Msg("")
+	}
+	return err
+}
+
+func (e *Entry) callSelf(c context.Context, m *schema.SendRequest, a *schema.SendReply) error {
+	unhook := context.AfterFunc(c, func() {
+		if errors.Is(c.Err(), context.Canceled) {
+			_ = e.Homes.Withdraw(&schema.WithdrawRequest{Entry: m.Entry, Call: m.Call}, nil)
+		}
+	})
+	defer unhook()
+	return e.Homes.Send(m, a)
+}
+
+// withdrawTimeout bounds the message that a client has gone.
+const withdrawTimeout = time.Second
+
+func (e *Entry) withdraw(i peer.Instance, call uint64) {
+	e.group.Go(func() {
+		c, stop := context.WithTimeout(context.Background(), withdrawTimeout)
+		defer stop()
+		if err := e.Pool.Call(c, i.RPCAddress, "Gate.Withdraw", &schema.WithdrawRequest{Entry: e.Self.ID, Call: call}, &schema.Empty{}); err != nil {
+			e.Log.Debug().Str("event", "withdraw-failed").Str("instance", i.ID).Err(err).Msg("")
+		}
+	})
+}
--- /dev/null
+++ b/internal/gate/entry/respond.go
@@ -0,0 +1,52 @@
+package entry
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"dandelionrock.example/dandelionrock/clock"
+	"dandelionrock.example/dandelionrock/internal/header"
+	"dandelionrock.example/dandelionrock/schema"
+)
+
+// respond writes the answer.
+func (q *request) respond(w http.ResponseWriter) {
+	took := clock.Boot().Sub(q.begin)
+	if a := q.reply; a != nil {
+		h := w.Header()
+		header.Copy(h, a.Headers, false)
+		if h["Content-Type"] == nil {
+			h["Content-Type"] = nil
+		}
+		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+		w.WriteHeader(int(a.Status))
+		_, err := w.Write(a.Body)
+		q.logAnswer(a, took, err)
+		return
+	}
+	q.entry.Meter.Request(q.service.Name, q.reason, took)
+	q.entry.Log.Info().Str("event", "request-failed").Str("request", q.attempt).Str("route", q.route.Name).Str("service", q.service.Name).
+		Int("status", q.status).Str("reason", q.reason).Dur("took", took).Int("sent", q.sent).Int("unsent", q.unsent).Bool("ran", q.ran).
+		Dur("retry-after", q.retry).Uint64("config", q.config).Uint32("key", q.key).Str("target", q.target).Str("home", q.home).
+		Dur("store-age", q.entry.Age()).Msg("")
+	respond(w, q.status, q.attempt, q.reason, q.retry)
+}
+
+// sampleAnswers is the number of answered requests for each one that is logged;
+// those that were late or sent more than once are all logged.
+const sampleAnswers = 64
+
+// logAnswer counts an answer and logs it.
+func (q *request) logAnswer(a *schema.SendReply, took time.Duration, err error) {
+	outcome, late := "answered", q.begin.Add(took) > q.objective
+	if late {
+		outcome = "late"
+	}
+	q.entry.Meter.Request(q.service.Name, outcome, took)
+	if !late && q.sent+q.unsent == 1 && err == nil && q.message.Call%sampleAnswers != 0 {
+		return
+	}
+	q.entry.Log.Info().Str("event", "request-answered").Str("request", q.attempt).Str("route", q.route.Name).Str("service", q.service.Name).
+		Str("target", a.Target).Int32("status", a.Status).Dur("took", took).Int("sent", q.sent).Int("unsent", q.unsent).Bool("late", late).Err(err).Msg("")
+}
--- a/internal/gate/keep/keep.go
+++ b/internal/gate/keep/keep.go
@@ -280,7 +280,7 @@
 			return k.settle(r, m, b, sent)
 		}
 		k.log.Warn().Str("event", "commit-failed").Uint64("epoch", m.Epoch).Err(err).Msg("")
-		sleep(c, pause)
+		clock.Sleep(c, pause)
 	}
 	return 0, 0, c.Err()
 }
@@ -310,15 +310,6 @@
 	return 0, 0, platform.ErrConflict
 }
 
-func sleep(c context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-c.Done():
-	}
-}
-
 // holding returns the record of a run of a target; the caller holds mu.
 func (k *Keeper) holding(r *schema.KeyRange) *holding {
 	o := owner{r.Target, r.Born}
--- a/internal/state/spread/spread.go
+++ b/internal/state/spread/spread.go
@@ -6,7 +6,6 @@
 import (
 	"bytes"
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,7 +17,6 @@
 	"dandelionrock.example/dandelionrock/internal/state/view"
 	"dandelionrock.example/dandelionrock/peer"
 	"dandelionrock.example/dandelionrock/platform"
-	"dandelionrock.example/dandelionrock/schema"
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 )
@@ -202,150 +200,6 @@
 	return s.steppedIn != 0 && now.Sub(s.steppedIn) < stepInTime
 }
 
-// read keeps one table fresh from the store while this instance shall.
-func (s *Spread) read(c context.Context, table int) {
-	r := reader{spread: s, table: table, last: clock.Boot()}
-	for c.Err() == nil {
-		if !s.reads(table) {
-			r.last = clock.Boot()
-			sleep(c, idleCheck)
-			continue
-		}
-		sleep(c, r.once(c))
-	}
-}
-
-func sleep(c context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-c.Done():
-	}
-}
-
-// reader reads one table from the store.
-type reader struct {
-	spread *Spread
-	table  int
-	// last is the time of the last answer of the store.
-	last     clock.Time
-	failures int
-	// whole asks for the whole table; returned is when an outage ended.
-	whole    bool
-	returned clock.Time
-}
-
-// once makes one read and returns the pause until the next.
-func (r *reader) once(parent context.Context) time.Duration {
-	s, c := r.spread, parent
-	s.mu.Lock()
-	now := clock.Boot()
-	v, known, age := s.copies[r.table].Version(), s.copies[r.table].Known(), s.copies[r.table].Age(now)
-	c, stop := context.WithCancel(c)
-	s.watches[r.table] = stop
-	s.mu.Unlock()
-	defer stop()
-	whole := r.whole || !known
-	var rows platform.Rows
-	var err error
-	if whole {
-		rows, err = s.store.List(c, names[r.table], "")
-	} else {
-		rows, err = s.store.Changes(c, names[r.table], v, r.wait())
-	}
-	switch {
-	case parent.Err() != nil:
-		return 0
-	case errors.Is(err, platform.ErrForgotten):
-		s.log.Warn().Str("event", "store-history-lost").Str("table", string(names[r.table])).Uint64("version", uint64(v)).Msg("")
-		r.whole = true
-		return 0
-	case err != nil:
-		return r.failed(now, err)
-	}
-	r.answered(now, age)
-	s.apply(now, r.table, rows, whole, r.holdsBack(now))
-	if whole && !r.holdsBack(now) {
-		r.whole = false
-	}
-	return r.pause()
-}
-
-// wait returns how long a read waits for a change.
-func (r *reader) wait() time.Duration {
-	if r.spread.failing.Load() {
-		return 0
-	}
-	switch r.table {
-	case desired:
-		return watchDesired
-	case own:
-		return watchOwn
-	}
-	return 0
-}
-
-// pause spaces the reads; watches that return at once must not follow each
-// other without end.
-func (r *reader) pause() time.Duration {
-	switch r.table {
-	case targets:
-		return pollInterval
-	case own:
-		return ownPause
-	}
-	return desiredPause
-}
-
-// holdsBack reports whether removals are not believed yet: the rows of targets
-// that live may have lapsed while the store was away.
-func (r *reader) holdsBack(now clock.Time) bool {
-	return r.table == targets && r.returned != 0 && now.Sub(r.returned) < returnTime
-}
-
-func (r *reader) answered(now clock.Time, age time.Duration) {
-	if r.failures > 0 {
-		r.spread.log.Info().Str("event", "store-regained").Str("table", string(names[r.table])).Dur("away", now.Sub(r.last)).Msg("")
-	}
-	if r.table == targets && age > outageAfter && !r.holdsBack(now) && age != mirror.NeverRead {
-		r.returned, r.whole = now, true
-	}
-	r.failures, r.last = 0, now
-	if r.table == targets {
-		r.spread.failing.Store(false)
-	}
-}
-
-func (r *reader) failed(now clock.Time, err error) time.Duration {
-	if r.failures == 0 {
-		r.spread.log.Warn().Str("event", "store-lost").Str("table", string(names[r.table])).Err(err).Dur("since", now.Sub(r.last)).Msg("")
-	}
-	r.failures++
-	if r.table == targets {
-		r.spread.abandonWatches()
-	}
-	d := min(minBackOff<<min(r.failures-1, 4), maxBackOff)
-	return d/2 + rand.N(d)
-}
-
-// abandonWatches ends the watches in progress when the store doesn't answer: they
-// would go on waiting on a connection that has gone silent. Until the store
-// answers again, reads don't wait for changes.
-func (s *Spread) abandonWatches() {
-	s.failing.Store(true)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for i, stop := range s.watches {
-		if i != targets && stop != nil {
-			stop()
-		}
-	}
-}
-
 // apply adds an answer of the store to a copy.
 func (s *Spread) apply(asOf clock.Time, table int, r platform.Rows, whole, holdBack bool) {
 	s.mu.Lock()
@@ -389,91 +243,6 @@
 	close(*s.changed.Swap(&n))
 }
 
-// pull reads the copies of another instance of the region.
-func (s *Spread) pull(c context.Context) {
-	for c.Err() == nil {
-		if i, ok := s.pickSource(); ok {
-			s.pullFrom(c, i)
-		}
-		sleep(c, pullInterval)
-	}
-}
-
-// pickSource returns the instance to read from: each of the readers in turn. If
-// they have nothing new, the other instances of the region and then those of
-// other regions follow, because the store may be out of reach for some only.
-func (s *Spread) pickSource() (peer.Instance, bool) {
-	n := s.order()
-	s.mu.Lock()
-	age := s.copies[targets].Age(clock.Boot())
-	s.mu.Unlock()
-	switch {
-	case age > farAfter, age > staleAfter && len(n) <= 1:
-		n = s.alive.Nearest(s.View(), "reader/"+s.self.Region, peer.Place{Region: s.self.Region})
-	case age > staleAfter:
-	default:
-		n = n[:min(readers, len(n))]
-	}
-	s.source++
-	for i := range n {
-		v := n[(s.source+i)%len(n)]
-		if v.ID != s.self.ID {
-			return v, true
-		}
-	}
-	return peer.Instance{}, false
-}
-
-func (s *Spread) pullFrom(c context.Context, i peer.Instance) {
-	s.mu.Lock()
-	q := &schema.SyncRequest{}
-	for _, t := range s.copies {
-		q.Versions = append(q.Versions, uint64(t.Version()))
-	}
-	s.mu.Unlock()
-	c, stop := context.WithTimeout(c, pullTimeout)
-	defer stop()
-	sent := clock.Boot()
-	var a schema.SyncReply
-	if err := s.pool.Call(c, i.RPCAddress, "Spread.Sync", q, &a); err != nil {
-		s.suspect(c, i, err)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for n, m := range a.Tables[:min(len(a.Tables), tables)] {
-		changes, err := s.copies[n].Merge(sent, m)
-		if err != nil {
-			s.log.Warn().Str("event", "copy-ignored").Str("table", string(names[n])).Str("peer", i.ID).Err(err).Msg("")
-		}
-		s.publish(n, changes)
-	}
-}
-
-func (s *Spread) suspect(c context.Context, i peer.Instance, err error) {
-	if errors.Is(c.Err(), context.Canceled) {
-		return
-	}
-	if s.alive.Suspect(i) {
-		s.log.Warn().Str("event", "instance-suspected").Str("instance", i.ID).Err(err).Str("call", "sync").Msg("")
-	}
-}
-
-// Sync answers another instance that reads the copies of this one.
-func (s *Spread) Sync(q *schema.SyncRequest, a *schema.SyncReply) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := clock.Boot()
-	for n, t := range s.copies {
-		var v platform.Version
-		if n < len(q.Versions) {
-			v = platform.Version(q.Versions[n])
-		}
-		a.Tables = append(a.Tables, t.Since(now, v))
-	}
-	return nil
-}
-
 // Learn adds a row of the own table that this instance has just written, or has
 // been told of.
 func (s *Spread) Learn(key string, value []byte, v platform.Version) {
