--- a/internal/home/upstream.go
+++ b/internal/home/upstream.go
@@ -16,6 +16,7 @@
 
 	"dandelionrock.example/dandelionrock/fence"
 	"dandelionrock.example/dandelionrock/internal/header"
+	"dandelionrock.example/dandelionrock/internal/value/preset"
 	"dandelionrock.example/dandelionrock/schema"
 	"github.com/cockroachdb/errors"
 )
@@ -63,10 +64,10 @@
 
 // NewUpstream returns an upstream without connections.
 func NewUpstream(o UpstreamOptions) *Upstream {
-	defaultTo(&o.Connections, 4)
-	defaultTo(&o.MaxAnswer, 1<<20)
-	defaultTo(&o.DialTimeout, 500*time.Millisecond)
-	defaultTo(&o.IdleTimeout, 30*time.Second)
+	preset.Positive(&o.Connections, 4)
+	preset.Positive(&o.MaxAnswer, 1<<20)
+	preset.Positive(&o.DialTimeout, 500*time.Millisecond)
+	preset.Positive(&o.IdleTimeout, 30*time.Second)
 	if o.Dial == nil {
 		var d net.Dialer
 		o.Dial = func(c context.Context, a string) (net.Conn, error) { return d.DialContext(c, "tcp", a) }
@@ -79,12 +80,6 @@
 	return u
 }
 
-func defaultTo[T int | int64 | time.Duration](p *T, v T) {
-	if *p <= 0 {
-		*p = v
-	}
-}
-
 // Close closes the idle connections. Requests that are being sent end by their
 // contexts.
 func (u *Upstream) Close() error {
--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -10,6 +10,7 @@
 	"net"
 	"time"
 
+	"dandelionrock.example/dandelionrock/internal/value/preset"
 	"github.com/cockroachdb/errors"
 )
 
@@ -57,22 +58,16 @@
 }
 
 func (o Options) withDefaults() Options {
-	defaultTo(&o.MaxFrame, 16<<20)
-	defaultTo(&o.WriteTimeout, 2*time.Second)
-	defaultTo(&o.DrainTime, 2*time.Second)
-	defaultTo(&o.Connections, 1)
-	defaultTo(&o.DialTimeout, 500*time.Millisecond)
-	defaultTo(&o.MinBackOff, 10*time.Millisecond)
-	defaultTo(&o.MaxBackOff, 200*time.Millisecond)
+	preset.Positive(&o.MaxFrame, 16<<20)
+	preset.Positive(&o.WriteTimeout, 2*time.Second)
+	preset.Positive(&o.DrainTime, 2*time.Second)
+	preset.Positive(&o.Connections, 1)
+	preset.Positive(&o.DialTimeout, 500*time.Millisecond)
+	preset.Positive(&o.MinBackOff, 10*time.Millisecond)
+	preset.Positive(&o.MaxBackOff, 200*time.Millisecond)
 	if o.Dial == nil {
 		var d net.Dialer
 		o.Dial = func(c context.Context, a string) (net.Conn, error) { return d.DialContext(c, "tcp", a) }
 	}
 	return o
 }
-
-func defaultTo[T int | time.Duration](p *T, v T) {
-	if *p <= 0 {
-		*p = v
-	}
-}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"dandelionrock.example/dandelionrock/internal/value/preset"
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
 )
@@ -69,19 +70,13 @@
 
 // New returns a limiter.
 func New[K comparable](o Options) *Limiter[K] {
-	defaultTo(&o.Accounts, 4096)
-	defaultTo(&o.RetryRatio, 0.2)
-	defaultTo(&o.RetryFloor, 1)
-	defaultTo(&o.RetryBurst, 10)
+	preset.Positive(&o.Accounts, 4096)
+	preset.Positive(&o.RetryRatio, 0.2)
+	preset.Positive(&o.RetryFloor, 1)
+	preset.Positive(&o.RetryBurst, 10)
 	return &Limiter[K]{options: o, accounts: map[K]*Account{}}
 }
 
-func defaultTo[T int | float64](p *T, v T) {
-	if *p <= 0 {
-		*p = v
-	}
-}
-
 // Begin counts a request in; the caller ends it with Account.End. The error is
 // ErrRate, ErrConcurrency or ErrAccounts.
 func (l *Limiter[K]) Begin(now time.Time, key K, s Limits) (*Account, error) {
--- a/order/order.go
+++ b/order/order.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"dandelionrock.example/dandelionrock/internal/value/preset"
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 )
@@ -146,18 +147,12 @@
 
 // NewRecord returns an empty record. Size returns the memory of a reply.
 func NewRecord[R any](o Options, size func(R) int) *Record[R] {
-	defaultTo(&o.Skew, time.Second)
-	defaultTo(&o.Count, 100_000)
-	defaultTo(&o.Bytes, 32<<20)
+	preset.Positive(&o.Skew, time.Second)
+	preset.Positive(&o.Count, 100_000)
+	preset.Positive(&o.Bytes, 32<<20)
 	return &Record[R]{options: o, size: size, entries: map[id]*entry[R]{}, accounts: map[string]*account{}}
 }
 
-func defaultTo[T int | time.Duration](p *T, v T) {
-	if *p <= 0 {
-		*p = v
-	}
-}
-
 // parse returns the canonical form of an order id and the time in it, in Unix
 // milliseconds, or 0 if it is not a UUID of version 7.
 func parse(s string) (string, int64) {
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"dandelionrock.example/dandelionrock/internal/value/preset"
 	"github.com/cockroachdb/errors"
 )
 
@@ -97,10 +98,10 @@
 
 // New returns an open gate.
 func New[K comparable](o Options) *Gate[K] {
-	defaultTo(&o.Slots, 1)
-	defaultTo(&o.PerAccount, 64)
-	defaultTo(&o.Total, 1024)
-	defaultTo(&o.Margin, 1)
+	preset.Positive(&o.Slots, 1)
+	preset.Positive(&o.PerAccount, 64)
+	preset.Positive(&o.Total, 1024)
+	preset.Positive(&o.Margin, 1)
 	g := &Gate[K]{
 		options: o, accounts: map[K]*account[K]{}, slots: o.Slots,
 		service: float64(o.Service), sweepAt: 64,
@@ -110,12 +111,6 @@
 	return g
 }
 
-func defaultTo[T int | float64](p *T, v T) {
-	if *p <= 0 {
-		*p = v
-	}
-}
-
 // Acquire waits for a slot. The caller releases the slot when the request has
 // ended; further calls of release have no effect. Weight is at least 1. The
 // error is ErrFull, ErrDeadline, ErrClosed or context.Canceled.
