Ask a former keeper whether it has stepped down

Soak failed beside the test suite: the keeper was paused for 2.2 s, its successor could not reach a target that had crashed, and waited for the predecessor's authority of twelve seconds though it ran again. The successor now asks it; a run that has stepped down grants nothing more, so that only its last grants are waited for.

--- a/internal/gate/keep/keep.go
+++ b/internal/gate/keep/keep.go
@@ -103,8 +103,11 @@
 	// predecessor and predecessorRun name the run of an instance that may still
 	// act as the keeper; empty if there is none.
 	predecessor, predecessorRun string
-	rebalanced                  clock.Time
-	load                        keys.Load
+	// askedPredecessor is when it was last asked whether it has stepped down.
+	askedPredecessor clock.Time
+	asking           bool
+	rebalanced       clock.Time
+	load             keys.Load
 	// ratings tells how the targets deal with requests, by id.
 	ratings map[string]*rating
 	watch   watch
@@ -193,8 +196,10 @@
 	m, known := v.Maps[k.service]
 	k.mu.Lock()
 	k.compare(m, known)
-	k.shorten(now, v)
 	acting := k.row != nil
+	if acting {
+		k.shorten(c, now, v)
+	}
 	k.mu.Unlock()
 	if !acting {
 		k.watchKeeper(c, now, v, m, known)
--- a/internal/gate/keep/watch.go
+++ b/internal/gate/keep/watch.go
@@ -171,15 +171,57 @@
 	k.group.Go(func() { k.takeOverOnce(c, n, m, ended, silent) })
 }
 
-// shorten ends the wait for a predecessor's authority once it has started again,
-// so that its former run can grant nothing any more; the caller holds mu.
-func (k *Keeper) shorten(now clock.Time, v *view.View) {
-	n := v.Incarnations[k.predecessor]
-	if k.predecessor == "" || n == "" || n == k.predecessorRun {
+// shorten ends the wait for a predecessor's authority once its run can grant
+// nothing any more: it has started again, or says that it has stepped down. The
+// caller holds mu.
+func (k *Keeper) shorten(c context.Context, now clock.Time, v *view.View) {
+	if k.predecessor == "" || now > k.predecessorEnd {
 		return
 	}
+	if n := v.Incarnations[k.predecessor]; n != "" && n != k.predecessorRun {
+		k.predecessorDone(now)
+		return
+	}
+	i, ok := v.Instance(k.predecessor)
+	if !ok || k.asking || now.Sub(k.askedPredecessor) < askKeeper {
+		return
+	}
+	k.asking, k.askedPredecessor = true, now
+	q := &schema.PingRequest{InstanceId: k.self.ID, Service: k.service, Epoch: k.row.Epoch}
+	k.group.Go(func() { k.askPredecessor(c, i, q) })
+}
+
+// predecessorDone leaves only the last grants of the predecessor to be waited
+// for; the caller holds mu.
+func (k *Keeper) predecessorDone(now clock.Time) {
 	k.predecessor = ""
-	k.predecessorEnd = min(k.predecessorEnd, now.Add(drift.Stretch(hold)+holdMargin))
+	k.predecessorEnd = min(k.predecessorEnd, now.Add(grantTimeout+drift.Stretch(hold)+holdMargin))
+}
+
+func (k *Keeper) askPredecessor(c context.Context, i peer.Instance, q *schema.PingRequest) {
+	c, stop := context.WithTimeout(c, askTimeout)
+	defer stop()
+	var a schema.PingReply
+	err := k.pool.Call(c, i.RPCAddress, "Gate.Ping", q, &a)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.asking = false
+	if err == nil && !a.Keeps && k.predecessor == i.ID {
+		k.predecessorDone(clock.Boot())
+	}
+}
+
+// Yield makes this instance stop to keep the service if a successor has an
+// epoch that is higher than its own. It reports whether the instance keeps it no
+// more.
+func (k *Keeper) Yield(epoch uint64) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.row != nil && k.row.Epoch < epoch {
+		k.log.Warn().Str("event", "keeper-yielded").Uint64("epoch", k.row.Epoch).Uint64("their-epoch", epoch).Msg("")
+		k.row = nil
+	}
+	return k.row == nil
 }
 
 func (k *Keeper) takeOverOnce(c context.Context, n *schema.KeyMap, m view.Map, ended bool, silent time.Duration) {
--- a/internal/gate/router/duty.go
+++ b/internal/gate/router/duty.go
@@ -62,9 +62,15 @@
 
 // Ping tells which run of the instance answers, and whether others should take
 // over its duties.
-func (g *gate) Ping(_ *schema.PingRequest, a *schema.PingReply) error {
+func (g *gate) Ping(q *schema.PingRequest, a *schema.PingReply) error {
 	a.Incarnation, a.Leaving = g.n.self.Incarnation, g.n.leaving.Load()
 	a.StoreLost = g.n.spread.Age() > storeLost
+	if q.Service != "" {
+		g.n.mu.Lock()
+		k := g.n.keepers[q.Service]
+		g.n.mu.Unlock()
+		a.Keeps = k != nil && !k.Yield(q.Epoch)
+	}
 	return nil
 }
 
