Confirm a keeper's row only up to what its view shows

The time up to which the copies are complete was read after the view, so that a row that had just changed could be confirmed for one more step, and without the lock. Found by reading; go test -race of the new packages is clean.

--- a/internal/gate/keep/keep.go
+++ b/internal/gate/keep/keep.go
@@ -191,21 +191,24 @@
 }
 
 func (k *Keeper) step(c context.Context) {
+	// The view is read after the time up to which it is known to be complete.
+	confirmed := k.spread.OwnConfirmed()
 	v := k.spread.View()
 	now := clock.Boot()
 	m, known := v.Maps[k.service]
 	k.mu.Lock()
-	k.compare(m, known)
+	k.compare(confirmed, m, known)
 	acting := k.row != nil
 	if acting {
 		k.shorten(c, now, v)
 	}
+	authorised := now.Sub(k.confirmed) <= authority
 	k.mu.Unlock()
 	if !acting {
 		k.watchKeeper(c, now, v, m, known)
 		return
 	}
-	if now.Sub(k.confirmed) > authority {
+	if !authorised {
 		return
 	}
 	k.renew(c, now, v)
@@ -213,7 +216,7 @@
 }
 
 // compare takes over what the store says of the row; the caller holds mu.
-func (k *Keeper) compare(m view.Map, known bool) {
+func (k *Keeper) compare(confirmed clock.Time, m view.Map, known bool) {
 	if k.row == nil || !known || m.Version < k.version {
 		return
 	}
@@ -226,7 +229,7 @@
 		k.row = nil
 		return
 	}
-	k.confirmed = max(k.confirmed, k.spread.OwnConfirmed())
+	k.confirmed = max(k.confirmed, confirmed)
 }
 
 // members returns the targets that may own keys; the caller holds mu.
