--- a/internal/gate/keep/move.go
+++ b/internal/gate/keep/move.go
@@ -49,10 +49,11 @@
 	}
 	var moves []keys.Move
 	why := "owner-left"
-	if !keys.Owned(k.row.Ranges, m) {
+	owned := keys.Owned(k.row.Ranges, m)
+	if !owned {
 		moves = k.ripe(now, v, keys.Rehome(k.row.Ranges, m, k.load.Rates(now)))
 	}
-	if len(moves) == 0 && now.Sub(k.rebalanced) >= rebalanceInterval && k.spread.Age() < freshAge && keys.Owned(k.row.Ranges, m) {
+	if len(moves) == 0 && now.Sub(k.rebalanced) >= rebalanceInterval && k.spread.Age() < freshAge && owned {
 		k.rebalanced = now
 		moves, why = keys.Rebalance(k.row.Ranges, m, k.load.Rates(now), max(minMoves, len(m)/movesShare)), "rebalance"
 	}
--- a/internal/gate/meter/meter.go
+++ b/internal/gate/meter/meter.go
@@ -61,6 +61,3 @@
 	s.Counter("target_requests").Inc(1)
 	s.Histogram("target_latency", buckets).RecordDuration(took)
 }
-
-// Add counts an event.
-func (m *Meter) Add(event string, n int) { m.scope.Counter(event).Inc(int64(n)) }
--- a/internal/plan/keys/plan.go
+++ b/internal/plan/keys/plan.go
@@ -51,6 +51,7 @@
 	moves []Move
 }
 
+// newPlan returns a plan without moves. Without ranges it needs no rates.
 func newPlan(r Ranges, m []Member, l *Rates) *plan {
 	p := &plan{rates: l, ranges: r, members: m, byID: map[string]int{}, loads: make([]float64, len(m)), owned: make([]int, len(m))}
 	for i, v := range m {
@@ -98,7 +99,7 @@
 
 // Owned reports whether all ranges belong to members.
 func Owned(r Ranges, m []Member) bool {
-	p := newPlan(nil, m, &Rates{})
+	p := newPlan(nil, m, nil)
 	return !slices.ContainsFunc(r, func(v *schema.KeyRange) bool { return p.index(v) < 0 })
 }
 
--- a/internal/plan/pool/pool.go
+++ b/internal/plan/pool/pool.go
@@ -179,11 +179,6 @@
 	return l
 }
 
-// Idle reports whether nothing runs or waits.
-func (p *Pool) Idle() bool {
-	return len(p.waiting) == 0 && !slices.ContainsFunc(p.members, func(m *member) bool { return m.running > 0 })
-}
-
 func (p *Pool) average() time.Duration {
 	if p.mean == 0 {
 		return firstMean
