syncer: find the instances that read in place of the readers

Cause: an instance with a stale copy asked all instances of its region in turn, one each 0.4 s. In a region of 70 that takes 28 s, and only the few that stand in for the readers have a recent copy.

Ruled out, by the versions and ages logged at each pull: a configuration that was rejected, a reader that served an old one, pulls that hang.

Change: of the pulls of a stale instance every other one is to a reader, the others to those whose turn to stand in has come, and then to the one that had a recent copy. Readers of other regions are asked in every third pull, not after the whole region. The choice among several candidates no longer depends on the parity that selects them.

--- a/internal/state/syncer/pull.go
+++ b/internal/state/syncer/pull.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/peer"
@@ -20,30 +21,33 @@
 	}
 }
 
-// pickSource returns the instance to read from: each of the readers in turn. If the
-// copy of the targets is stale, it includes the other instances of the region and
-// then those of other regions, because the store may be unreachable from some
-// instances only.
+// pickSource returns the instance to read from.
 func (s *Syncer) pickSource() (peer.Instance, bool) {
-	n := s.readerOrder()
+	o := s.readerOrder()
 	s.mu.Lock()
 	age := s.copies[targets].Age(clock.Boot())
+	deputy := s.deputy.current(clock.Boot())
 	s.mu.Unlock()
-	switch {
-	case age > s.scaled(farAfter), age > s.scaled(staleAfter) && len(n) <= 1:
-		n = s.alive.Nearest(s.View(), "reader/"+s.self.Region, peer.Place{Region: s.self.Region})
-	case age > s.scaled(staleAfter):
-	default:
-		n = n[:min(readers, len(n))]
+	var far []peer.Instance
+	if age > s.scaled(farAfter) || len(o) <= 1 {
+		far = s.farReaders()
 	}
 	s.pulls++
-	for i := range n {
-		v := n[(s.pulls+i)%len(n)]
-		if v.ID != s.self.ID {
-			return v, true
+	return source(s.pulls, candidates(s.pulls, age, s.scaled(staleAfter), o, far, deputy), s.self.ID)
+}
+
+// farReaders returns the readers of the other regions.
+func (s *Syncer) farReaders() []peer.Instance {
+	var far []peer.Instance
+	seen := map[string]bool{s.self.Region: true}
+	for _, i := range s.View().Instances {
+		if !seen[i.Region] {
+			seen[i.Region] = true
+			o := s.regionOrder(i.Region)
+			far = append(far, o[:min(readers, len(o))]...)
 		}
 	}
-	return peer.Instance{}, false
+	return far
 }
 
 // pullFrom reads the copies of an instance and merges them.
@@ -67,6 +71,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.noteDeputy(i, sent, &a)
 	for n, m := range a.Tables[:min(len(a.Tables), tables)] {
 		changes, err := s.copies[n].Merge(sent, m)
 		if err != nil {
@@ -76,6 +81,18 @@
 	}
 }
 
+// noteDeputy remembers an instance that is not a reader and whose copy is recent
+// although that of this instance was stale. The caller holds mu.
+func (s *Syncer) noteDeputy(i peer.Instance, sent clock.Time, a *schema.SyncReply) {
+	stale := s.scaled(staleAfter)
+	if len(a.Tables) != tables || s.copies[targets].Age(sent) <= stale {
+		return
+	}
+	if m := a.Tables[targets]; m.Known && time.Duration(m.AgeMs)*time.Millisecond < stale {
+		s.deputy = deputy{i.ID, sent.Add(standInTime)}
+	}
+}
+
 // suspect marks an instance as suspected after a failed call, unless the call was
 // cancelled.
 func (s *Syncer) suspect(c context.Context, i peer.Instance, err error) {
--- a/internal/state/syncer/syncer.go
+++ b/internal/state/syncer/syncer.go
@@ -49,7 +49,7 @@
 	// staleAfter is the age of the targets' copy after which an instance that is
 	// not a reader reads the store. It exceeds pollInterval plus two pulls.
 	staleAfter = 1900 * time.Millisecond
-	// farAfter is the age after which instances of other regions are asked as well.
+	// farAfter is the age after which readers of other regions are asked as well.
 	farAfter = 3 * time.Second
 	// idleCheck is the interval at which an instance that doesn't read the store
 	// checks whether it should.
@@ -100,6 +100,8 @@
 	// lastStandIn is when this instance last read targets whose copy was stale, in
 	// place of the readers; 0 if it never did.
 	lastStandIn clock.Time
+	// deputy is an instance that reads the store in place of the readers.
+	deputy deputy
 
 	// storeFailing is set while reads of the targets' table fail.
 	storeFailing atomic.Bool
@@ -173,10 +175,14 @@
 
 // readerOrder returns the live instances of the region in the order in which
 // they read the store.
-func (s *Syncer) readerOrder() []peer.Instance {
-	n := s.alive.Nearest(s.View(), "reader/"+s.self.Region, peer.Place{Region: s.self.Region})
+func (s *Syncer) readerOrder() []peer.Instance { return s.regionOrder(s.self.Region) }
+
+// regionOrder returns the live instances of a region in the order in which they
+// read the store.
+func (s *Syncer) regionOrder(region string) []peer.Instance {
+	n := s.alive.Nearest(s.View(), "reader/"+region, peer.Place{Region: region})
 	for i, v := range n {
-		if v.Region != s.self.Region {
+		if v.Region != region {
 			return n[:i]
 		}
 	}
