router: a home that has just started refuses until it knows the targets

Cause, found by the soak's new check: an instance that starts in an outage of the store knows no other instance until the store is back. Its first read then lacks the targets whose rows have expired, and as the home of a group it refused the requests of all instances for them.

Change: it says that it is starting, in refusals and answers to probes, until it has merged the copy of an instance that ran before, or removals are believed again. Entries choose the next instance as home meanwhile.

--- a/internal/fault/soak/faults_test.go
+++ b/internal/fault/soak/faults_test.go
@@ -58,6 +58,7 @@
 	stop()
 	g.Wait()
 	s.checkRecovery()
+	s.checkLapse()
 }
 
 // settle waits for settleTime. Halfway, when the bound on draining applies to all
--- a/internal/gate/entry/call.go
+++ b/internal/gate/entry/call.go
@@ -29,8 +29,8 @@
 	e.loads.Begin(k.Service, k.FailureDomain)
 	a := &schema.SendReply{}
 	err := e.call(c, i, m, a)
-	if err == nil && a.Reason == group.ReasonLeaving && e.Alive.Suspect(i) {
-		e.Log.Info().Str("event", "instance-leaves").Str("peer", i.ID).Str("request", m.AttemptId).Msg("")
+	if err == nil && group.Unavailable(a.Reason) && e.Alive.Suspect(i) {
+		e.Log.Info().Str("event", "instance-unavailable").Str("peer", i.ID).Str("reason", a.Reason).Str("request", m.AttemptId).Msg("")
 	}
 	var l *pool.Load
 	if a.Load != nil {
--- a/internal/gate/entry/request.go
+++ b/internal/gate/entry/request.go
@@ -321,7 +321,7 @@
 func (q *request) handleRefusal(a *schema.SendReply, k group.ID) bool {
 	q.unsent++
 	q.fail(http.StatusServiceUnavailable, a.Reason, time.Duration(a.RetryMs)*time.Millisecond)
-	if a.Reason == group.ReasonLeaving {
+	if group.Unavailable(a.Reason) {
 		return q.unsent < maxUnsent
 	}
 	if q.service.Keyed {
--- a/internal/gate/group/group.go
+++ b/internal/gate/group/group.go
@@ -19,9 +19,19 @@
 	"github.com/rs/zerolog"
 )
 
-// ReasonLeaving is the reason for which a home that is shutting down refuses
-// requests.
-const ReasonLeaving = "home-leaving"
+// Reasons for which a home refuses all requests, so that another instance is to be
+// the home.
+const (
+	// ReasonLeaving states that the home is shutting down.
+	ReasonLeaving = "home-leaving"
+	// ReasonStarting states that the home has just started and may not know all
+	// targets yet.
+	ReasonStarting = "home-starting"
+)
+
+// Unavailable reports whether a reason for a refusal is one for which another
+// instance is to be the home.
+func Unavailable(reason string) bool { return reason == ReasonLeaving || reason == ReasonStarting }
 
 // ID identifies a group.
 type ID struct{ Service, FailureDomain, Target string }
--- a/internal/gate/router/peers.go
+++ b/internal/gate/router/peers.go
@@ -36,15 +36,28 @@
 type gate struct{ n *Instance }
 
 // Send executes a request. An instance that is shutting down refuses it, since
-// it could end before the answer arrives.
+// it could end before the answer arrives, and one that has just started because it
+// may not know the target yet.
 func (g *gate) Send(q *schema.SendRequest, a *schema.SendReply) error {
-	if g.n.leaving.Load() {
-		a.Outcome, a.Reason = schema.SendOutcome_SEND_OUTCOME_REFUSED, group.ReasonLeaving
+	if r := g.n.unavailable(); r != "" {
+		a.Outcome, a.Reason = schema.SendOutcome_SEND_OUTCOME_REFUSED, r
 		return nil
 	}
 	return g.n.homes.Send(q, a)
 }
 
+// unavailable returns the reason why this instance is not to be a home for other
+// instances, or "".
+func (n *Instance) unavailable() string {
+	switch {
+	case n.leaving.Load():
+		return group.ReasonLeaving
+	case !n.syncer.KnowsTargets():
+		return group.ReasonStarting
+	}
+	return ""
+}
+
 // Withdraw cancels a request whose client has disconnected.
 func (g *gate) Withdraw(q *schema.WithdrawRequest, a *schema.Empty) error {
 	return g.n.homes.Withdraw(q, a)
@@ -64,7 +77,7 @@
 // has lost the store, and whether it is the keeper of the service in the
 // request. A higher epoch in the request makes it step down.
 func (g *gate) Ping(q *schema.PingRequest, a *schema.PingReply) error {
-	a.Incarnation, a.Leaving = g.n.self.Incarnation, g.n.leaving.Load()
+	a.Incarnation, a.Leaving, a.Starting = g.n.self.Incarnation, g.n.leaving.Load(), !g.n.syncer.KnowsTargets()
 	a.StoreLost = g.n.syncer.Age() > storeLostAge
 	g.n.mu.Lock()
 	defer g.n.mu.Unlock()
@@ -209,7 +222,7 @@
 	defer stop()
 	var a schema.PingReply
 	err := n.pool.Call(c, i.RPCAddress, "Gate.Ping", &schema.PingRequest{InstanceId: n.self.ID}, &a)
-	if err == nil && a.Incarnation == i.Incarnation && !a.Leaving {
+	if err == nil && a.Incarnation == i.Incarnation && !a.Leaving && !a.Starting {
 		if n.alive.Clear(i.ID) {
 			n.log.Info().Str("event", "instance-regained").Str("peer", i.ID).Msg("")
 		}
--- a/internal/state/mirror/mirror.go
+++ b/internal/state/mirror/mirror.go
@@ -118,10 +118,14 @@
 // Version returns the version up to which the copy is complete.
 func (t *Table) Version() platform.Version { return t.version }
 
+// LacksExpired reports whether rows that expired before the copy was first read may
+// be missing, and be known to other copies.
+func (t *Table) LacksExpired() bool { return t.fresh && t.Defers() }
+
 // VersionToPull returns the version after which another copy's changes are needed,
 // or 0 for all of its rows.
 func (t *Table) VersionToPull() platform.Version {
-	if t.NeedsWhole() || t.fresh && t.Defers() {
+	if t.NeedsWhole() || t.LacksExpired() {
 		return 0
 	}
 	return t.version
--- a/internal/state/syncer/syncer.go
+++ b/internal/state/syncer/syncer.go
@@ -164,6 +164,15 @@
 	return s.copies[targets].Age(clock.Boot())
 }
 
+// KnowsTargets reports whether the copy of the targets' table holds all targets that
+// are to be used. That of an instance which has just started may lack those whose
+// rows expired before.
+func (s *Syncer) KnowsTargets() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.copies[targets].Complete() && !s.copies[targets].LacksExpired()
+}
+
 // OwnConfirmed returns the last time at which the copy of the own table was known
 // to be complete.
 func (s *Syncer) OwnConfirmed() clock.Time {
