mirror: send the whole table when records of removals may be missing

Cause: a copy that was read whole has no record of rows that were removed before it was read, yet it answered others with the changes since their version. A copy that had such a row took the newer version and kept the row for good: after the restart of a reader, a target that had left stayed in use.

Change: after a whole read the records of removals count as missing up to its version, so that older copies get the whole table once. A row of such an answer that is sent as a change and is known already counts as listed; with changes of large rows the same test showed it removed.

--- a/internal/state/mirror/mirror.go
+++ b/internal/state/mirror/mirror.go
@@ -27,7 +27,7 @@
 	complete bool
 	// version is the version up to which the copy is complete. It never decreases.
 	version platform.Version
-	// floor is the version up to which removed rows may have been dropped.
+	// floor is the version up to which the records of removed rows may be missing.
 	floor platform.Version
 	// asOf is the last time at which the copy was known to be complete.
 	asOf clock.Time
@@ -169,6 +169,9 @@
 	if whole {
 		changes = append(changes, t.removeUnlisted(r)...)
 		t.needsWhole = false
+		// Rows that this copy never had may have been removed before, without a
+		// record here.
+		t.floor = max(t.floor, r.Version)
 	}
 	t.advance(asOf, r.Version)
 	return changes
@@ -361,6 +364,8 @@
 	r := platform.Rows{Version: platform.Version(m.Version)}
 	for _, v := range rows {
 		if old := t.rows[v.Key]; v.Base != 0 && old != nil && uint64(old.version) >= v.Version {
+			// The row is known; it must still count as listed.
+			r.Rows = append(r.Rows, platform.Row{Key: v.Key, Value: old.value, Version: old.version, Removed: old.removed})
 			continue
 		}
 		b, err := t.decode(v)
--- a/internal/state/mirror/mirror_test.go
+++ b/internal/state/mirror/mirror_test.go
@@ -88,8 +88,8 @@
 }
 
 // Guards against copies that miss a change or a removal, or return to an older
-// state: a reader reads changes or the whole table, and another copy is merged from
-// it, with gaps and with answers older than the copy.
+// state: a reader reads changes or the whole table, and starts again at times, and
+// another copy is merged from it, with gaps and with answers older than the copy.
 func TestCopiesFollowTheStore(t *testing.T) {
 	t.Run("small rows", func(t *testing.T) { followTheStore(t, "", nil) })
 	t.Run("changes of large rows", func(t *testing.T) { followTheStore(t, padding, codec{}) })
@@ -121,6 +121,10 @@
 				if old != nil {
 					reader.Apply(now, *old, true)
 				}
+			case 8:
+				// The reader starts again and reads the table as it is then.
+				reader = New(sameMeaning, c)
+				reader.Apply(now, h.whole(), true)
 			}
 			if op%3 == 0 {
 				if _, err := other.Merge(now, reader.Since(now, other.Version(), other.Known())); err != nil {
