router: show and compare which settings each instance runs with

Cause: settings files change often, and nothing told from outside which instance runs with the new ones. Of all fields three were applied while running; a file that was half written lost its optional fields to their defaults.

Change: package tuning decides which fields of a changed file come into force and which wait for a restart. All are applied but those of name, place, addresses and the longest hold time, by which a successor waits for its predecessor's grants. A file that lacks fields of the one in force must stay the same for three seconds before it is applied; an invalid one changes nothing and is logged once. The digest of the settings that all instances share, with their age, the changed fields and the version of the configuration, stand in the log line of a reload, in the metrics, and in the report of the new command fleet, for which the asked instance asks all others only then.

TestSettingsDrift covers a change without a signal, several signals, the store down, an invalid and a half-written file, a field that needs a restart, and an instance that leaves.

--- a/internal/gate/entry/entry.go
+++ b/internal/gate/entry/entry.go
@@ -57,10 +57,8 @@
 	Pool   *relay.Pool
 	Alive  *alive.Set
 	Owners *keys.Owners
-	// Regions maps failure domains to their regions.
-	Regions map[string]string
-	Log     zerolog.Logger
-	Meter   *meter.Meter
+	Log    zerolog.Logger
+	Meter  *meter.Meter
 	// Leaving reports whether the instance is shutting down.
 	Leaving func() bool
 	// Age returns the age of the local copy of the targets' table.
@@ -71,6 +69,8 @@
 type Entry struct {
 	Options
 	started clock.Time
+	// regions maps failure domains to their regions.
+	regions atomic.Pointer[map[string]string]
 	loads   place.Loads
 	calls   atomic.Uint64
 	wg      sync.WaitGroup
@@ -92,12 +92,20 @@
 
 // New returns an Entry.
 func New(o Options) *Entry {
-	return &Entry{
+	e := &Entry{
 		Options: o, started: clock.Boot(), budgets: map[string]*budget.Budget{}, splitCounts: map[string]uint64{}, counts: map[string]*counts{},
 		deadlines: map[string]*slack.Route{}, missingSince: map[string]clock.Time{},
 	}
+	e.SetRegions(nil)
+	return e
 }
 
+// SetRegions sets the regions of the failure domains.
+func (e *Entry) SetRegions(r map[string]string) { e.regions.Store(&r) }
+
+// region returns the region of a failure domain, or "" if it is not known.
+func (e *Entry) region(domain string) string { return (*e.regions.Load())[domain] }
+
 // SetBound sets the bound of the retry budgets.
 func (e *Entry) SetBound(b budget.Bound) {
 	e.mu.Lock()
--- a/internal/gate/entry/request.go
+++ b/internal/gate/entry/request.go
@@ -179,7 +179,7 @@
 	switch {
 	case domain == e.Self.FailureDomain:
 		return place.Same
-	case e.Regions[domain] == e.Self.Region:
+	case e.region(domain) == e.Self.Region:
 		return place.Region
 	}
 	return place.Far
@@ -187,7 +187,7 @@
 
 // place returns the place of a failure domain.
 func (e *Entry) place(domain string) peer.Place {
-	return peer.Place{Region: e.Regions[domain], FailureDomain: domain}
+	return peer.Place{Region: e.region(domain), FailureDomain: domain}
 }
 
 // ownerGroup returns the group of the target that owns the request's key. If there
--- a/internal/gate/meter/meter.go
+++ b/internal/gate/meter/meter.go
@@ -4,6 +4,7 @@
 import (
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	client "github.com/prometheus/client_golang/prometheus"
@@ -26,6 +27,10 @@
 	scope  tally.Scope
 	closer io.Closer
 	text   http.Handler
+
+	mu sync.Mutex
+	// settings is the digest of the settings in force.
+	settings string
 }
 
 // New returns a Meter. A metric that can't be registered is logged and left
@@ -39,7 +44,7 @@
 		Prefix: "dandelionrock", CachedReporter: r, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
 	}, reportInterval)
-	return &Meter{s, c, r.HTTPHandler()}
+	return &Meter{scope: s, closer: c, text: r.HTTPHandler()}
 }
 
 // Close stops reporting.
@@ -62,3 +67,22 @@
 	s.Counter("target_requests").Inc(1)
 	s.Histogram("target_latency", latencyBuckets).RecordDuration(took)
 }
+
+// SetSettings sets the metric settings to 1 for the digest of the settings in force,
+// and to 0 for earlier ones. It also records when they were read, in Unix seconds.
+func (m *Meter) SetSettings(digest string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	gauge := func(d string) tally.Gauge { return m.scope.Tagged(map[string]string{"digest": d}).Gauge("settings") }
+	if m.settings != "" {
+		gauge(m.settings).Update(0)
+	}
+	m.settings = digest
+	gauge(digest).Update(1)
+	m.scope.Gauge("settings_read_seconds").Update(float64(time.Now().Unix()))
+}
+
+// SetConfiguration sets the version of the configuration in force.
+func (m *Meter) SetConfiguration(version uint64) {
+	m.scope.Gauge("configuration_version").Update(float64(version))
+}
--- a/internal/gate/router/peers.go
+++ b/internal/gate/router/peers.go
@@ -102,12 +102,20 @@
 	return nil
 }
 
-// register writes the instance's row to the directory and restores it if it is
-// missing.
+// weight returns the share of the work that the instance takes, relative to others.
+func (n *Instance) weight() float64 {
+	s := n.inForce.Load()
+	return s.Processor * s.Link
+}
+
+// register writes the instance's row to the directory, and again if it is missing
+// or the instance's weight has changed.
 func (n *Instance) register(c context.Context) {
 	n.writeRow(c)
 	clock.Every(c, registerInterval, func() {
-		if n.leaving.Load() || n.syncer.View().Incarnations[n.self.ID] == n.self.Incarnation {
+		v := n.syncer.View()
+		i, _ := v.Instance(n.self.ID)
+		if n.leaving.Load() || i.Incarnation == n.self.Incarnation && i.Weight == n.weight() {
 			return
 		}
 		n.writeRow(c)
@@ -117,7 +125,7 @@
 func (n *Instance) writeRow(c context.Context) {
 	c, stop := context.WithTimeout(c, registerTimeout)
 	defer stop()
-	m := &schema.InstanceRow{InstanceId: n.self.ID, Incarnation: n.self.Incarnation, RpcAddress: n.self.RPCAddress, Region: n.self.Region, FailureDomain: n.self.FailureDomain, Weight: n.settings.Processor * n.settings.Link}
+	m := &schema.InstanceRow{InstanceId: n.self.ID, Incarnation: n.self.Incarnation, RpcAddress: n.self.RPCAddress, Region: n.self.Region, FailureDomain: n.self.FailureDomain, Weight: n.weight()}
 	b, err := proto.Marshal(m)
 	if err != nil {
 		n.log.Error().Str("event", "register-failed").Err(err).Msg("")
@@ -173,6 +181,7 @@
 	if v.Desired == nil {
 		return
 	}
+	n.meter.SetConfiguration(v.Desired.Version)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for s, d := range v.Desired.Services {
--- a/internal/gate/router/router.go
+++ b/internal/gate/router/router.go
@@ -14,12 +14,14 @@
 	"sync/atomic"
 	"time"
 
+	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/internal/edge"
 	"dandelionrock.example/dandelionrock/internal/gate/entry"
 	"dandelionrock.example/dandelionrock/internal/gate/group"
 	"dandelionrock.example/dandelionrock/internal/gate/keeper"
 	"dandelionrock.example/dandelionrock/internal/gate/meter"
 	"dandelionrock.example/dandelionrock/internal/gate/sender"
+	"dandelionrock.example/dandelionrock/internal/gate/tuning"
 	"dandelionrock.example/dandelionrock/internal/plan/budget"
 	"dandelionrock.example/dandelionrock/internal/plan/keys"
 	"dandelionrock.example/dandelionrock/internal/relay"
@@ -88,10 +90,13 @@
 	meter       *meter.Meter
 	metrics     *http.Server
 	leaving     atomic.Bool
-	// grace is the time from SIGTERM to SIGKILL, in nanoseconds.
-	grace atomic.Int64
+	// inForce holds the settings that the instance runs with.
+	inForce atomic.Pointer[platform.Settings]
+	started time.Time
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// tuning decides which settings come into force.
+	tuning  *tuning.Tracker
 	keepers map[string]*keeper.Keeper
 	// suspectedSince records when each suspected instance was first found
 	// suspected, by id.
@@ -106,6 +111,7 @@
 	n := build(s, o.Log.With().Str("instance", s.Instance).Logger())
 	n.options = o
 	n.configure(s)
+	n.meter.SetSettings(tuning.Digest(s))
 	if err := n.start(); err != nil {
 		return err
 	}
@@ -115,7 +121,8 @@
 }
 
 func build(s *platform.Settings, l zerolog.Logger) *Instance {
-	n := &Instance{settings: s, log: l, keepers: map[string]*keeper.Keeper{}, suspectedSince: map[string]time.Time{}}
+	n := &Instance{settings: s, log: l, started: time.Now(), keepers: map[string]*keeper.Keeper{}, suspectedSince: map[string]time.Time{}}
+	n.tuning = tuning.New(clock.Boot(), s)
 	n.self.ID, n.self.Incarnation, n.self.RPCAddress = s.Instance, uuid.NewString(), s.Peer.String()
 	n.self.Region, n.self.FailureDomain = s.Region, s.FailureDomain
 	n.store, n.granter = platform.NewStore(s.Store.String()), platform.NewGranter()
@@ -129,7 +136,7 @@
 	n.meter = meter.New(l)
 	n.homes = group.New(n.syncer, n.connections, l, n.meter)
 	n.entry = entry.New(entry.Options{
-		Self: n.self, Views: n.syncer, Homes: n.homes, Pool: n.pool, Alive: n.alive, Owners: n.owners, Regions: s.Regions,
+		Self: n.self, Views: n.syncer, Homes: n.homes, Pool: n.pool, Alive: n.alive, Owners: n.owners,
 		Log: l, Meter: n.meter, Leaving: n.leaving.Load, Age: n.syncer.Age,
 	})
 	return n
@@ -160,7 +167,7 @@
 	}
 	c, stop := context.WithCancel(context.Background())
 	n.cancel = stop
-	n.metrics = &http.Server{Handler: n.meter, ReadHeaderTimeout: time.Second}
+	n.metrics = &http.Server{Handler: n.metricsHandler(), ReadHeaderTimeout: time.Second}
 	n.group.Go(func() { n.logServerEnd("metrics", n.metrics.Serve(m)) })
 	n.client = edge.NewServer(f, n.entry)
 	n.ready = &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: time.Second}
@@ -173,7 +180,7 @@
 	n.group.Go(func() { n.probe(c) })
 	n.group.Go(func() { n.reportLoads(c) })
 	n.group.Go(func() { n.reload(c) })
-	n.log.Info().Str("event", "started").Str("incarnation", n.self.Incarnation).Str("failure-domain", n.self.FailureDomain).Msg("")
+	n.log.Info().Str("event", "started").Str("incarnation", n.self.Incarnation).Str("settings", tuning.Digest(n.settings)).Str("failure-domain", n.self.FailureDomain).Msg("")
 	return nil
 }
 
@@ -194,26 +201,45 @@
 			signalled = true
 		case <-t.C:
 		}
-		if !n.options.Changed() && !signalled {
-			continue
+		if n.options.Changed() || signalled || !n.settled() {
+			n.readSettings(signalled)
 		}
-		s, err := n.options.Read()
-		if err != nil {
-			n.log.Error().Str("event", "reload-failed").Err(err).Msg("keeping the current settings")
-			continue
-		}
-		n.log.Info().Str("event", "reloaded").Bool("signalled", signalled).Msg("")
-		n.configure(s)
 	}
 }
 
-// configure applies the settings that may change while an instance runs: the
-// memory limit, the retry budget and the grace period. Changes of its name,
-// place and addresses need a restart.
+func (n *Instance) settled() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.tuning.Settled()
+}
+
+// readSettings reads the settings and applies those that may change while the
+// instance runs.
+func (n *Instance) readSettings(signalled bool) {
+	s, err := n.options.Read()
+	n.mu.Lock()
+	r := n.tuning.Read(clock.Boot(), s, err)
+	state := n.tuning.State(clock.Boot())
+	n.mu.Unlock()
+	if r.Err != nil {
+		n.log.Error().Str("event", "reload-failed").Str("settings", state.Digest).Err(r.Err).Msg("keeping the current settings")
+	}
+	if state.Fault != "" {
+		return
+	}
+	n.configure(r.InForce)
+	n.meter.SetSettings(state.Digest)
+	n.log.Info().Str("event", "reloaded").Bool("signalled", signalled).Str("settings", state.Digest).
+		Interface("changes", r.Changes).Strs("waiting-for-restart", state.Waiting).Msg("")
+}
+
+// configure puts settings into force. Those that need a restart are as they were.
 func (n *Instance) configure(s *platform.Settings) {
+	n.inForce.Store(s)
 	debug.SetMemoryLimit(int64(float64(s.Memory) * goMemoryShare))
 	n.entry.SetBound(budget.Bound{Ratio: s.RetryRatio, Window: s.RetryWindow, Allowance: s.RetryAllowance})
-	n.grace.Store(int64(s.Grace))
+	n.entry.SetRegions(s.Regions)
+	n.syncer.SetDrain(s.Drain)
 }
 
 // logServerEnd logs the error with which a server ended.
@@ -229,11 +255,14 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	if n.leaving.Load() || n.syncer.View().Desired == nil {
+	if !n.takesClients() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
+// takesClients reports whether the load balancer is to send clients here.
+func (n *Instance) takesClients() bool { return !n.leaving.Load() && n.syncer.View().Desired != nil }
+
 // leave announces the shutdown, accepts requests until the load balancer and
 // the other instances have noticed, and waits for those in progress.
 func (n *Instance) leave() {
@@ -242,7 +271,7 @@
 	n.leaving.Store(true)
 	n.deregister()
 	time.Sleep(closeDelay - time.Since(begin))
-	c, stop := context.WithDeadline(context.Background(), begin.Add(time.Duration(n.grace.Load())-closeReserve))
+	c, stop := context.WithDeadline(context.Background(), begin.Add(n.inForce.Load().Grace-closeReserve))
 	defer stop()
 	if err := n.client.Stop(c); err != nil {
 		n.log.Warn().Str("event", "requests-cut").Err(err).Msg("")
--- a/internal/gate/router/router_test.go
+++ b/internal/gate/router/router_test.go
@@ -36,9 +36,13 @@
 	settingsEdits []string
 	// storeProxies are the proxies between each instance and the store.
 	storeProxies []*proxy.Proxy
-	stops        []context.CancelFunc
-	ended        []chan struct{}
-	nextAttempt  atomic.Int64
+	// files are the settings files of the instances, and reloads their signals to
+	// read them again.
+	files       []string
+	reloads     []chan os.Signal
+	stops       []context.CancelFunc
+	ended       []chan struct{}
+	nextAttempt atomic.Int64
 }
 
 // network numbers the loopback networks that the tests use.
@@ -94,9 +98,11 @@
 	c, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	s.stops, s.ended = append(s.stops, stop), append(s.ended, done)
+	reload, changed := make(chan os.Signal, 1), platform.NewWatch(func(string) string { return f }).Changed
+	s.files, s.reloads = append(s.files, f), append(s.reloads, reload)
 	go func() {
 		defer close(done)
-		if err := Run(c, set, Options{Log: zerolog.New(io.Discard), Reload: make(chan os.Signal), Read: read, Changed: func() bool { return false }}); err != nil {
+		if err := Run(c, set, Options{Log: zerolog.New(io.Discard), Reload: reload, Read: read, Changed: changed}); err != nil {
 			s.t.Error(err)
 		}
 	}()
--- a/internal/state/syncer/syncer.go
+++ b/internal/state/syncer/syncer.go
@@ -85,9 +85,9 @@
 	pool  *relay.Pool
 	alive *alive.Set
 	log   zerolog.Logger
-	// scale is the factor by which intervals are shortened for the drain time, at
-	// most 1.
-	scale float64
+	// drain is the time within which the departure of a target reaches all
+	// instances, in nanoseconds.
+	drain atomic.Int64
 
 	view atomic.Pointer[view.View]
 	// changed is closed and replaced when the view changes.
@@ -114,7 +114,8 @@
 // New returns a Syncer with empty copies. The departure of a target reaches all
 // instances within drain.
 func New(self peer.Instance, s *platform.Store, p *relay.Pool, a *alive.Set, drain time.Duration, l zerolog.Logger) *Syncer {
-	d := &Syncer{self: self, store: s, pool: p, alive: a, log: l, scale: min(1, float64(drain)/float64(usualDrain))}
+	d := &Syncer{self: self, store: s, pool: p, alive: a, log: l}
+	d.SetDrain(drain)
 	d.copies = [tables]*mirror.Table{mirror.New(bytes.Equal, nil), mirror.New(sameTarget, nil), mirror.New(bytes.Equal, delta.Keys{})}
 	d.copies[targets].DeferRemovals(outageAfter, reregisterTime)
 	d.view.Store(view.Empty())
@@ -123,8 +124,14 @@
 	return d
 }
 
+// SetDrain sets the time within which the departure of a target reaches all
+// instances.
+func (s *Syncer) SetDrain(d time.Duration) { s.drain.Store(int64(d)) }
+
 // scaled returns an interval shortened for the drain time.
-func (s *Syncer) scaled(d time.Duration) time.Duration { return time.Duration(s.scale * float64(d)) }
+func (s *Syncer) scaled(d time.Duration) time.Duration {
+	return time.Duration(min(1, float64(s.drain.Load())/float64(usualDrain)) * float64(d))
+}
 
 // sameTarget reports whether two rows of a target are the same except for the
 // heartbeat.
--- a/internal/subcmd/subcmd.go
+++ b/internal/subcmd/subcmd.go
@@ -86,6 +86,7 @@
 		{"check", "Check a configuration without an instance", "Checks the configuration text of an organisation, or the settings of an instance, and prints every fault as file:line: cause.", &check{r: r}},
 		{"submit", "Submit the configuration of an organisation", submitHelp, &submit{r: r}},
 		{"status", "Show an instance, its peers and homes", "Shows the status of an instance, and what it knows about the others.", &status{r: r}},
+		{"fleet", "Compare what the instances of the gateway run with", fleetHelp, &fleetCommand{r: r}},
 		{"timeline", "Show the events of instances in causal order", "Merges the events of the given instances by their hybrid logical clocks. Events of instances that can be reached are shown even if others fail.", &timeline{r: r}},
 		{"version", "Show the version of the program", "Shows the version of the program.", &version{r: r}},
 	}
