hangup: execute pipelined requests at the same time

Cause: net/http passes a pipelined request to the handler only when the one before it is answered, so that it waits before it is even placed.

Weighed: several inner connections to the same server for one of a client, with the answers put in order, needs a second parser that decides where requests end, as does a server of our own. Here the bytes that arrive are parsed with net/http's own parser while a request is served. Requests without a body whose route is idempotent start at once; when net/http passes the same request to the handler, in its turn, it gets the response. If the two heads differ, or the end of a request can't be told, the connection goes on as before. An order runs alone. Executions are bounded for each connection, and for the instance by its memory; they end with the connection.

Tried and dropped: a request that was refused ahead of its turn is tried again in its turn.

--- a/internal/gate/entry/entry.go
+++ b/internal/gate/entry/entry.go
@@ -39,6 +39,9 @@
 	defaultMaxBody = 64 << 20
 	// defaultObjective is the latency objective of a route that states none.
 	defaultObjective = time.Second
+	// aheadMemory is the memory of an instance for each request that is executed
+	// ahead of its turn.
+	aheadMemory = 1 << 20
 	// startTime is the time in which a started instance reads its first
 	// configuration, if the store is available.
 	startTime = time.Second
@@ -70,10 +73,11 @@
 	Options
 	started clock.Time
 	// regions maps failure domains to their regions.
-	regions atomic.Pointer[map[string]string]
-	loads   place.Loads
-	calls   atomic.Uint64
-	wg      sync.WaitGroup
+	regions  atomic.Pointer[map[string]string]
+	maxAhead atomic.Int64
+	loads    place.Loads
+	calls    atomic.Uint64
+	wg       sync.WaitGroup
 
 	mu      sync.Mutex
 	bound   budget.Bound
@@ -122,7 +126,7 @@
 // ServeHTTP handles one request of a client.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header()["Date"] = nil
-	if e.Leaving() {
+	if e.Leaving() && !hangup.Followed(r.Context()) {
 		w.Header().Set("Connection", "close")
 	}
 	v := e.Views.View()
@@ -157,6 +161,23 @@
 	q.respond(w)
 }
 
+// MayRunAhead implements hangup.Policy.
+func (e *Entry) MayRunAhead(r *http.Request) bool {
+	d := e.Views.View().Desired
+	if d == nil || e.Leaving() {
+		return false
+	}
+	t := match(d, r)
+	return t != nil && t.Idempotent
+}
+
+// MaxAhead implements hangup.Policy.
+func (e *Entry) MaxAhead() int { return int(e.maxAhead.Load()) }
+
+// SetMemory sets the memory of the instance in bytes, which bounds the requests that
+// are executed ahead of their turn.
+func (e *Entry) SetMemory(n int64) { e.maxAhead.Store(n / aheadMemory) }
+
 // configurationRetryAfter returns the Retry-After of an instance without a
 // configuration. An instance that has just started reads it within a few round
 // trips; if it is still missing later, the store must be unavailable.
--- /dev/null
+++ b/internal/gate/hangup/ahead.go
@@ -0,0 +1,248 @@
+package hangup
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"sync/atomic"
+
+	"dandelionrock.example/dandelionrock/clock"
+)
+
+const (
+	// maxConnAhead bounds the requests of one connection that are executed ahead of
+	// their turn, so that a client gets no more slots by sending more ahead.
+	maxConnAhead = 8
+	// maxHead bounds the head of a request in bytes, and thereby what is kept of a
+	// request that has not arrived completely. Longer ones are not executed ahead.
+	maxHead = 64 << 10
+)
+
+// Policy is implemented by handlers whose requests may be executed before the
+// requests ahead of them on the same connection are answered. Package net/http
+// passes on a pipelined request only when the one before it is answered. Responses
+// are always sent in the order of the requests.
+type Policy interface {
+	// MayRunAhead reports whether a request may be executed beside those that were
+	// sent before and after it on its connection. It must be idempotent.
+	MayRunAhead(r *http.Request) bool
+	// MaxAhead bounds the requests of all connections that are executed ahead.
+	MaxAhead() int
+}
+
+// runner executes requests ahead of their turn.
+type runner struct {
+	handler http.Handler
+	policy  Policy
+	// running counts the requests of all connections that are executed ahead and
+	// not yet delivered.
+	running atomic.Int64
+}
+
+// mayRun reports whether a request may be executed beside others.
+func (n *runner) mayRun(r *http.Request) bool {
+	return n.policy != nil && hasNoBody(r) && r.ProtoAtLeast(1, 1) && r.Host != "" && r.Header["Expect"] == nil && n.policy.MayRunAhead(r)
+}
+
+func hasNoBody(r *http.Request) bool { return r.ContentLength == 0 && len(r.TransferEncoding) == 0 }
+
+// queued is a request whose head has arrived and that the server has not passed to
+// the handler yet.
+type queued struct {
+	request *http.Request
+	// at is when the head was complete.
+	at clock.Time
+	// done is closed when the execution has ended; nil if it has not begun.
+	done   chan struct{}
+	cancel context.CancelFunc
+	// response and panicked are the result; read them after done is closed.
+	response response
+	panicked any
+}
+
+// observe takes bytes that arrived, in order, and queues the requests whose heads
+// they complete. The server parses the same bytes again when it is their turn; both
+// use the parser of net/http. The caller holds mu.
+func (c *conn) observe(b []byte, at clock.Time) {
+	for len(b) > 0 && !c.untracked {
+		if c.skip > 0 {
+			n := min(c.skip, int64(len(b)))
+			c.skip -= n
+			b = b[n:]
+			continue
+		}
+		// The end of a head may lie across two reads.
+		from := max(len(c.head)-len(headEnd)+1, 0)
+		c.head = append(c.head, b...)
+		i := bytes.Index(c.head[from:], headEnd)
+		if i < 0 {
+			c.untracked = len(c.head) > maxHead
+			break
+		}
+		n := from + i + len(headEnd)
+		b = bytes.Clone(c.head[n:])
+		c.queue(c.head[:n], at)
+		c.head = c.head[:0]
+	}
+	if c.untracked {
+		c.head = nil
+	}
+}
+
+// headEnd ends the head of a request.
+var headEnd = []byte("\r\n\r\n")
+
+// queue parses a head and queues its request. If the end of the request can't be
+// told, the connection is no longer tracked, and its further requests wait for
+// their turn.
+func (c *conn) queue(head []byte, at clock.Time) {
+	b := bytes.NewReader(head)
+	p := bufio.NewReaderSize(b, len(head))
+	r, err := http.ReadRequest(p)
+	if err != nil || b.Len()+p.Buffered() > 0 {
+		// A malformed head, or one that ends before headEnd.
+		c.untracked = true
+		return
+	}
+	c.waiting = append(c.waiting, &queued{request: r, at: at})
+	c.untracked = r.Close || r.ContentLength < 0 || len(r.TransferEncoding) > 0 || r.Method == http.MethodConnect || r.Header["Upgrade"] != nil
+	c.skip = max(r.ContentLength, 0)
+}
+
+// take removes the request that the server passes to the handler from the queue. It
+// returns nil if the connection is not tracked.
+func (c *conn) take(r *http.Request) *queued {
+	if len(c.waiting) == 0 {
+		return nil
+	}
+	q := c.waiting[0]
+	if !sameRequest(q.request, r) {
+		c.untracked = true
+		c.cancelAhead()
+		c.waiting = nil
+		return nil
+	}
+	c.waiting = c.waiting[1:]
+	return q
+}
+
+// sameRequest reports whether two heads are the same.
+func sameRequest(a, b *http.Request) bool {
+	return a.Method == b.Method && a.RequestURI == b.RequestURI && a.Host == b.Host && a.Proto == b.Proto &&
+		maps.EqualFunc(a.Header, b.Header, slices.Equal[[]string])
+}
+
+// startAhead starts the execution of queued requests while one is served. A request
+// that must run alone holds back those after it. The caller holds mu.
+func (c *conn) startAhead() {
+	if c.cancel == nil || c.alone || c.err != nil {
+		return
+	}
+	for i, q := range c.waiting {
+		if q.done != nil {
+			continue
+		}
+		if i >= maxConnAhead || !c.runner.mayRun(q.request) || c.runner.running.Load() >= int64(c.runner.policy.MaxAhead()) {
+			return
+		}
+		c.start(q)
+	}
+}
+
+// start starts the execution of a request; the caller holds mu.
+func (c *conn) start(q *queued) {
+	x, stop := context.WithCancel(context.WithValue(c.base, queuedKey{}, q))
+	q.cancel, q.done = stop, make(chan struct{})
+	n := c.runner
+	n.running.Add(1)
+	go func() {
+		defer close(q.done)
+		defer n.running.Add(-1)
+		defer stop()
+		defer func() { q.panicked = recover() }()
+		n.handler.ServeHTTP(&q.response, q.request.WithContext(x))
+	}()
+}
+
+// cancelAhead cancels all executions ahead; the caller holds mu.
+func (c *conn) cancelAhead() {
+	for _, q := range c.waiting {
+		if q.cancel != nil {
+			q.cancel()
+		}
+	}
+}
+
+// deliver waits for the execution of a request and writes its response, or panics as
+// the handler did. If c ends, the execution is cancelled.
+func (q *queued) deliver(c context.Context, w http.ResponseWriter) {
+	stop := context.AfterFunc(c, q.cancel)
+	<-q.done
+	stop()
+	if q.panicked != nil {
+		panic(q.panicked)
+	}
+	q.response.writeTo(w)
+}
+
+// response records the response of a handler.
+type response struct {
+	header http.Header
+	status int
+	body   [][]byte
+}
+
+// Header implements http.ResponseWriter.
+func (p *response) Header() http.Header {
+	if p.header == nil {
+		p.header = http.Header{}
+	}
+	return p.header
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (p *response) WriteHeader(status int) {
+	if p.status == 0 {
+		p.status = status
+	}
+}
+
+// Write implements http.ResponseWriter. It keeps b, which must not be modified
+// later: responses can be large.
+func (p *response) Write(b []byte) (int, error) {
+	p.WriteHeader(http.StatusOK)
+	p.body = append(p.body, b)
+	return len(b), nil
+}
+
+func (p *response) writeTo(w http.ResponseWriter) {
+	h := w.Header()
+	for k, v := range p.header {
+		h[k] = v
+	}
+	w.WriteHeader(max(p.status, http.StatusOK))
+	for _, b := range p.body {
+		if _, err := w.Write(b); err != nil {
+			return
+		}
+	}
+}
+
+// queuedKey is the context key of a request that is executed ahead.
+type queuedKey struct{}
+
+// Followed reports whether requests behind the one with context c on its connection
+// are being executed, so that the connection must not end with its response.
+func Followed(c context.Context) bool {
+	n, ok := c.Value(key{}).(*conn)
+	if !ok {
+		return false
+	}
+	self := c.Value(queuedKey{})
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.ContainsFunc(n.waiting, func(q *queued) bool { return q.done != nil && q != self })
+}
--- a/internal/gate/hangup/hangup.go
+++ b/internal/gate/hangup/hangup.go
@@ -1,7 +1,8 @@
-// Package hangup cancels the context of a request when its client closes the
-// connection, also for clients that pipeline requests. Package net/http detects
-// a closed connection only until the next request arrives on it, so that the
-// abandoned requests of pipelining clients would be executed.
+// Package hangup serves clients that pipeline requests. It cancels the context of a
+// request when its client closes the connection: package net/http detects that only
+// until the next request arrives, so that the abandoned requests of pipelining
+// clients would be executed. It also executes pipelined requests at the same time,
+// if the handler permits it; see Policy.
 package hangup
 
 import (
@@ -72,6 +73,23 @@
 	requests int
 	// cancel cancels the request that is served; nil if there is none.
 	cancel context.CancelFunc
+
+	// waiting holds the requests whose heads have arrived and that the server has
+	// not passed to the handler, in order.
+	waiting []*queued
+	// head holds the beginning of the next request, and skip the rest of the body
+	// of the last one in bytes. Both are kept while untracked is not set.
+	head []byte
+	skip int64
+	// untracked is set when the end of a request could not be told. Requests that
+	// arrive later are not queued.
+	untracked bool
+	// alone is set while a request is served that must run alone.
+	alone bool
+	// runner executes requests ahead, with contexts made from base. Both are those
+	// of the request that is served.
+	runner *runner
+	base   context.Context
 }
 
 // Read returns the bytes that were read ahead, or else reads from the network.
@@ -94,7 +112,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading, c.arrived = false, clock.Boot()
+	c.observe(b[:n], c.arrived)
 	if err == nil && c.cancel != nil {
+		c.startAhead()
 		c.startReadAhead()
 	}
 	return n, err
@@ -122,6 +142,15 @@
 	return nil
 }
 
+// Close closes the connection. Executions whose responses can't be sent any more are
+// cancelled.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	c.cancelAhead()
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
 // startReadAhead starts readAhead; the caller holds mu, and reading and
 // readingAhead are not set.
 func (c *conn) startReadAhead() {
@@ -140,14 +169,18 @@
 		n, err := c.Conn.Read(c.buffer)
 		c.mu.Lock()
 		if n > 0 {
-			c.ahead = append(c.ahead, chunk{bytes.Clone(c.buffer[:n]), clock.Boot()})
+			now := clock.Boot()
+			c.ahead = append(c.ahead, chunk{bytes.Clone(c.buffer[:n]), now})
 			c.size += n
+			c.observe(c.buffer[:n], now)
+			c.startAhead()
 		}
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.err = err
 			if c.cancel != nil {
 				c.cancel()
 			}
+			c.cancelAhead()
 		}
 		c.readingAhead = err == nil && c.cancel != nil && c.size < maxAhead
 		more := c.readingAhead
@@ -159,17 +192,24 @@
 	}
 }
 
-// begin starts a request, which is cancelled when the connection ends.
-func (c *conn) begin(cancel context.CancelFunc) {
+// begin starts a request, which is cancelled when the connection ends. It returns
+// the queued request, or nil if the connection is not tracked.
+func (c *conn) begin(cancel context.CancelFunc, n *runner, r *http.Request) *queued {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.cancel = cancel
 	c.requests++
+	q := c.take(r)
+	c.runner, c.base, c.alone = n, context.WithoutCancel(r.Context()), !n.mayRun(r)
 	if c.err != nil {
 		cancel()
-	} else if !c.reading && !c.readingAhead {
+		return q
+	}
+	c.startAhead()
+	if !c.reading && !c.readingAhead {
 		c.startReadAhead()
 	}
+	return q
 }
 
 func (c *conn) end() {
@@ -182,6 +222,9 @@
 // a pipelined request that can be before the previous request ended. It returns
 // the present time if the connection does not come from a Listener.
 func Arrived(c context.Context) clock.Time {
+	if q, ok := c.Value(queuedKey{}).(*queued); ok {
+		return q.at
+	}
 	n, ok := c.Value(key{}).(*conn)
 	if !ok {
 		return clock.Boot()
@@ -192,12 +235,15 @@
 }
 
 // Reused reports whether the connection of the request with context c has served
-// an earlier request.
+// an earlier request, or one is served before it.
 func Reused(c context.Context) bool {
 	n, ok := c.Value(key{}).(*conn)
 	if !ok {
 		return false
 	}
+	if c.Value(queuedKey{}) != nil {
+		return true
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.requests > 1
@@ -213,9 +259,11 @@
 }
 
 // Handler returns a handler that calls h with a context that is cancelled when
-// the client closes the connection. The server must use Listener and
-// ConnContext.
+// the client closes the connection. If h is a Policy, pipelined requests run at the
+// same time. The server must use Listener and ConnContext.
 func Handler(h http.Handler) http.Handler {
+	u := &runner{handler: h}
+	u.policy, _ = h.(Policy)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		n, ok := r.Context().Value(key{}).(*conn)
 		if !ok {
@@ -224,8 +272,12 @@
 		}
 		c, stop := context.WithCancel(r.Context())
 		defer stop()
-		n.begin(stop)
+		q := n.begin(stop, u, r)
 		defer n.end()
+		if q != nil && q.done != nil {
+			q.deliver(c, w)
+			return
+		}
 		h.ServeHTTP(w, r.WithContext(c))
 	})
 }
--- a/internal/gate/router/router.go
+++ b/internal/gate/router/router.go
@@ -239,6 +239,7 @@
 	debug.SetMemoryLimit(int64(float64(s.Memory) * goMemoryShare))
 	n.entry.SetBound(budget.Bound{Ratio: s.RetryRatio, Window: s.RetryWindow, Allowance: s.RetryAllowance})
 	n.entry.SetRegions(s.Regions)
+	n.entry.SetMemory(s.Memory)
 	n.syncer.SetDrain(s.Drain)
 }
 
