sender: attribute rejections with certainty, and bound what targets send

Causes, each with a test that fails before: - A keyed request that its owner rejected was sent again under its attempt id on the same connection.

Change: a connection that carried a rejected attempt is not used for it again, and is closed after 32 of them. A rejection without an id counts on the first exchange of a connection only; otherwise the request may have run.

TestEndlessBytes: 11 kinds, 64 at once, the heap stays below 184 MB and another request is served meanwhile.

--- /dev/null
+++ b/internal/gate/sender/faulty_test.go
@@ -0,0 +1,175 @@
+package sender
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// startServer starts a target whose connections are served by f. f gets the number
+// of the connection and a function that reads the next request.
+func startServer(t *testing.T, f func(n int, c net.Conn, next func() bool)) Target {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			r := bufio.NewReader(c)
+			go func() {
+				defer c.Close()
+				f(n, c, func() bool { _, err := http.ReadRequest(r); return err == nil })
+			}()
+		}
+	}()
+	return Target{ID: "t", Address: netip.MustParseAddrPort(l.Addr().String())}
+}
+
+const (
+	rejected = "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: a\r\nNot-Executed: full\r\nContent-Length: 0\r\n\r\n"
+	// strayRejection belongs to a request that the target could not read.
+	strayRejection = "HTTP/1.1 400 Bad Request\r\nNot-Executed: no-id\r\nContent-Length: 0\r\n\r\n"
+)
+
+// Guards against a refusal of a request that runs: a second copy of the rejection of
+// its first sending arrives when the response to the second one is due.
+func TestLateCopyOfARejection(t *testing.T) {
+	p := startServer(t, func(n int, c net.Conn, next func() bool) {
+		for i := 0; next(); i++ {
+			switch {
+			case n == 0 && i == 0:
+				_, _ = c.Write([]byte(rejected))
+			case i > 0:
+				_, _ = c.Write([]byte(rejected + complete))
+			default:
+				_, _ = c.Write([]byte(complete))
+			}
+		}
+	})
+	l := New()
+	defer l.Close()
+	if a, err := l.Do(context.Background(), p, request("a")); err != nil || !a.NotRun {
+		t.Fatalf("first sending: %+v, %v", a, err)
+	}
+	if a, err := l.Do(context.Background(), p, request("a")); err != nil || a.NotRun {
+		t.Errorf("second sending, which ran: %+v, %v", a, err)
+	}
+	// Other attempts go on using the first connection.
+	if n := l.Dials(); n != 2 {
+		t.Errorf("%d connections were opened", n)
+	}
+}
+
+// Guards against a refusal of a request that runs: a rejection without an attempt id
+// belongs to something sent before.
+func TestRejectionWithoutAnAttempt(t *testing.T) {
+	p := startServer(t, func(n int, c net.Conn, next func() bool) {
+		for i := 0; next(); i++ {
+			switch {
+			case n == 1 || i == 1:
+				_, _ = c.Write([]byte(strayRejection + complete))
+			default:
+				_, _ = c.Write([]byte(complete))
+			}
+		}
+	})
+	l := New()
+	defer l.Close()
+	if _, err := l.Do(context.Background(), p, request("a")); err != nil {
+		t.Fatal(err)
+	}
+	if a, err := l.Do(context.Background(), p, request("a")); !errors.Is(err, ErrNoResponse) {
+		t.Errorf("on a connection in use again: %+v, %v", a, err)
+	}
+	if a, err := l.Do(context.Background(), p, request("a")); err != nil || !a.NotRun {
+		t.Errorf("on a new connection: %+v, %v", a, err)
+	}
+}
+
+// endless are responses that begin with the first text and go on with the second one
+// without end.
+var endless = map[string][2]string{
+	"status line":   {"HTTP/1.1 200 ", "OK "},
+	"header line":   {"HTTP/1.1 200 OK\r\nX: ", "xxxxxxxx"},
+	"header lines":  {"HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+	"interim":       {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+	"no HTTP":       {"", "\x00\xff"},
+	"body":          {"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n\r\n", "body"},
+	"chunks":        {"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n"},
+	"chunk line":    {"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n4;", "x=y;"},
+	"trailers":      {"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"},
+	"claimed size":  {"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nContent-Length: 99999999999\r\n\r\n", "body"},
+	"late response": {"", "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 4\r\n\r\nbody"},
+}
+
+// smallestMemory is the memory of the smallest instance.
+const smallestMemory = 184 << 20
+
+// Guards against a process that dies because targets send bytes without end, against
+// one that reads them until the deadline, and against other requests that fail.
+func TestEndlessBytes(t *testing.T) {
+	const atOnce = 64
+	good := startTarget(t, complete)
+	l := New()
+	l.SetMemory(smallestMemory)
+	defer l.Close()
+	for name, text := range endless {
+		rest := []byte(strings.Repeat(text[1], 1+16000/len(text[1])))
+		p := startServer(t, func(_ int, c net.Conn, next func() bool) {
+			next()
+			_, err := c.Write([]byte(text[0]))
+			for err == nil {
+				_, err = c.Write(rest)
+			}
+		})
+		runtime.GC()
+		var g sync.WaitGroup
+		done := make(chan struct{})
+		begin := time.Now()
+		for range atOnce {
+			g.Go(func() {
+				r := request("a")
+				r.End = time.Now().Add(time.Minute)
+				if a, err := l.Do(context.Background(), p, r); !errors.Is(err, ErrNoResponse) {
+					t.Errorf("%s: response %+v, %v", name, a, err)
+				}
+			})
+		}
+		go func() { g.Wait(); close(done) }()
+		var most uint64
+		for waiting := true; waiting; {
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			most = max(most, m.HeapAlloc)
+			if _, err := l.Do(context.Background(), good, request("a")); err != nil {
+				t.Errorf("%s: another request: %v", name, err)
+			}
+			select {
+			case <-done:
+				waiting = false
+			case <-time.After(5 * time.Millisecond):
+			}
+		}
+		if most > smallestMemory {
+			t.Errorf("%s: the heap has %d MB", name, most>>20)
+		}
+		if d := time.Since(begin); d > 20*time.Second {
+			t.Errorf("%s: read for %v", name, d)
+		}
+	}
+}
--- a/internal/gate/sender/sender.go
+++ b/internal/gate/sender/sender.go
@@ -6,10 +6,10 @@
 	"bufio"
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -42,11 +42,11 @@
 	idleLimit = 8 * time.Second
 	// idleMargin is subtracted from the idle timeout that a target states.
 	idleMargin = time.Second
-	// maxBody bounds the body of a response in bytes.
-	maxBody = 16 << 20
 	// maxResponses bounds the responses that are read for one request: late
 	// responses to earlier requests on the connection are skipped.
 	maxResponses = 4
+	// maxUnserved bounds the rejections on a connection until it is closed.
+	maxUnserved = 32
 	// unackedTimeout is the time after which a connection is closed if sent
 	// data is not acknowledged.
 	unackedTimeout = 2 * time.Second
@@ -86,17 +86,33 @@
 	closed bool
 	idle   map[Target][]*conn
 	dials  int
+	bodies bodies
 }
 
 type conn struct {
-	net.Conn
+	limited
 	r *bufio.Reader
 	// idleUntil is when the connection is no longer used if it is idle.
 	idleUntil time.Time
+	// exchanges counts the requests sent.
+	exchanges int
+	// unserved holds the attempts that a target rejected on this connection. They
+	// are not sent on it again: a late copy of the rejection would be taken for the
+	// response to the second sending.
+	unserved []string
+	bodies   *bodies
 }
 
 // New returns an empty Pool.
-func New() *Pool { return &Pool{idle: map[Target][]*conn{}} }
+func New() *Pool {
+	l := &Pool{idle: map[Target][]*conn{}}
+	l.SetMemory(defaultMemory)
+	return l
+}
+
+// SetMemory sets the memory of the process in bytes, of which response bodies that
+// are being read take a bounded share.
+func (l *Pool) SetMemory(n int64) { l.bodies.limit.Store(n / bodyShare) }
 
 // Dials returns the number of attempts to open a connection so far.
 func (l *Pool) Dials() int {
@@ -139,7 +155,7 @@
 // Do sends a request and waits for the response until the request's End or the
 // end of c. Its errors are marked with ErrNotSent or ErrNoResponse.
 func (l *Pool) Do(c context.Context, p Target, r *Request) (*Response, error) {
-	k, err := l.get(c, p)
+	k, err := l.get(c, p, r.Attempt)
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
@@ -160,18 +176,23 @@
 	return a, nil
 }
 
-func (l *Pool) get(c context.Context, p Target) (*conn, error) {
+// get returns an idle connection that may carry an attempt, or a new one.
+func (l *Pool) get(c context.Context, p Target, attempt string) (*conn, error) {
 	now := time.Now()
 	for {
 		l.mu.Lock()
 		cs := l.idle[p]
-		if len(cs) == 0 {
+		i := len(cs) - 1
+		for i >= 0 && slices.Contains(cs[i].unserved, attempt) {
+			i--
+		}
+		if i < 0 {
 			l.dials++
 			l.mu.Unlock()
-			return dial(c, p.Address)
+			return l.dial(c, p.Address)
 		}
-		k := cs[len(cs)-1]
-		l.idle[p] = cs[:len(cs)-1]
+		k := cs[i]
+		l.idle[p] = slices.Delete(cs, i, i+1)
 		l.mu.Unlock()
 		if now.Before(k.idleUntil) && k.reusable() {
 			return k, nil
@@ -191,13 +212,15 @@
 	l.idle[p] = append(l.idle[p], k)
 }
 
-func dial(c context.Context, a netip.AddrPort) (*conn, error) {
+func (l *Pool) dial(c context.Context, a netip.AddrPort) (*conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: Control}
 	n, err := d.DialContext(c, "tcp", a.String())
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: n, r: bufio.NewReader(n)}, nil
+	k := &conn{limited: limited{Conn: n}, bodies: &l.bodies}
+	k.r = bufio.NewReader(&k.limited)
+	return k, nil
 }
 
 // tcpUserTimeout is TCP_USER_TIMEOUT of Linux.
@@ -242,6 +265,7 @@
 // exchange writes a request and reads its response. It also reports whether the
 // connection can be reused.
 func (k *conn) exchange(p Target, r *Request) (*Response, bool, error) {
+	k.exchanges++
 	if _, err := k.Write(r.encode(p)); err != nil {
 		return nil, false, errors.Wrap(err, "write request")
 	}
@@ -250,8 +274,12 @@
 		if err != nil {
 			return nil, false, err
 		}
-		if id := a.Header.Get(platform.HeaderAttempt); id == r.Attempt || id == "" && a.NotRun {
-			return a, reuse && k.r.Buffered() == 0, nil
+		id := a.Header.Get(platform.HeaderAttempt)
+		if k.belongs(id, r, a) {
+			if a.NotRun {
+				k.unserved = append(k.unserved, r.Attempt)
+			}
+			return a, reuse && k.r.Buffered() == 0 && len(k.unserved) < maxUnserved, nil
 		} else if id == "" || !reuse {
 			return nil, false, errors.Newf("response with status %d belongs to attempt %q", a.Status, id)
 		}
@@ -259,10 +287,18 @@
 	return nil, false, errors.New("too many responses to other requests")
 }
 
+// belongs reports whether a response with an attempt id is the one to a request.
+// Rejections may lack the id. On a connection that has carried another request, one
+// without it may be a late copy of an earlier rejection, and the request may run.
+func (k *conn) belongs(id string, r *Request, a *Response) bool {
+	return id == r.Attempt || id == "" && a.NotRun && k.exchanges == 1
+}
+
 // read reads one final response with its body and skips interim responses. It
 // also reports whether the target keeps the connection open.
 func (k *conn) read(r *Request) (*Response, bool, error) {
 	q := &http.Request{Method: r.Method}
+	k.left = maxHead
 	var w *http.Response
 	for {
 		var err error
@@ -274,13 +310,11 @@
 		}
 	}
 	defer w.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(w.Body, maxBody+1))
+	k.left = maxBody + maxHead
+	b, err := k.bodies.read(w.Body)
 	if err != nil {
 		return nil, false, errors.Wrap(err, "read response body")
 	}
-	if len(b) > maxBody {
-		return nil, false, errors.Newf("response body exceeds %d bytes", maxBody)
-	}
 	k.idleUntil = time.Now().Add(idleTime(w.Header))
 	a := &Response{Status: w.StatusCode, Header: w.Header, Body: b}
 	a.NotRun = w.Header.Get(platform.HeaderNotRun) != "" || w.StatusCode == http.StatusMisdirectedRequest
--- a/internal/home/grant.go
+++ b/internal/home/grant.go
@@ -26,7 +26,7 @@
 // NewGrantClient returns a client for the upstream at the given host and port.
 // The function dial opens a connection; if it is nil, TCP is used.
 func NewGrantClient(address string, dial func(c context.Context, address string) (net.Conn, error)) *GrantClient {
-	t := &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}
+	t := &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true, MaxResponseHeaderBytes: maxAnswerHeader}
 	if dial != nil {
 		t.DialContext = func(c context.Context, _, a string) (net.Conn, error) { return dial(c, a) }
 	}
--- a/internal/state/mirror/compress.go
+++ b/internal/state/mirror/compress.go
@@ -33,7 +33,11 @@
 const maxDecompressed = 16 << 20
 
 func decompress(b []byte) ([]byte, error) {
-	return io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(b)), maxDecompressed))
+	d, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(b)), maxDecompressed+1))
+	if err == nil && len(d) > maxDecompressed {
+		return nil, errors.Newf("decompressed data exceeds %d bytes", maxDecompressed)
+	}
+	return d, err
 }
 
 // compressRows compresses the rows of an answer together if they are large: those of
