guard: recover from panics in calls and duties of an instance

Cause: nothing recovered. net/rpc runs each call in a goroutine of its own, so that a panic in one, as in a reader, ended the process with every request it had.

Change: a call that panics returns an error, so that its request may have run. A duty that reads, registers, probes or reports begins again; after five panics in a minute the instance leaves in order, with requests answered and a non-zero exit code. A panic of a keeper makes it leave at once: its record of the grants in flight can't be trusted, and its successor waits for them. Each panic is logged with its stack and counted.

--- a/internal/gate/keeper/commit.go
+++ b/internal/gate/keeper/commit.go
@@ -105,7 +105,7 @@
 		return
 	}
 	k.confirming = true
-	k.group.Go(func() { k.confirmOnce(c, now) })
+	k.run(func() { k.confirmOnce(c, now) })
 }
 
 // confirmOnce reads the row by a call sent at the given time or later. A row of
--- a/internal/gate/keeper/fence.go
+++ b/internal/gate/keeper/fence.go
@@ -99,7 +99,7 @@
 func (k *Keeper) raiseAllFences(c context.Context) {
 	k.moving, k.fenceRefused = true, false
 	t := change{k.takeovers, proto.CloneOf(k.row), k.version}
-	k.group.Go(func() {
+	k.run(func() {
 		defer k.endChange(t.takeover)
 		t.row.Epoch++
 		t.row.Ranges = keys.Ranges(t.row.Ranges).Refence(firstFence(t.row.Epoch))
--- a/internal/gate/keeper/keeper.go
+++ b/internal/gate/keeper/keeper.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"dandelionrock.example/dandelionrock/clock"
+	"dandelionrock.example/dandelionrock/internal/gate/guard"
 	"dandelionrock.example/dandelionrock/internal/plan/hold"
 	"dandelionrock.example/dandelionrock/internal/plan/keys"
 	"dandelionrock.example/dandelionrock/internal/relay"
@@ -75,6 +76,7 @@
 	owners  *keys.Owners
 	log     zerolog.Logger
 	leaving func() bool
+	guard   *guard.Guard
 	// hold is the hold time of grants.
 	hold time.Duration
 
@@ -160,6 +162,8 @@
 	Alive   *alive.Set
 	Owners  *keys.Owners
 	Log     zerolog.Logger
+	// Guard recovers from panics.
+	Guard *guard.Guard
 	// MaxHold is the longest hold time that targets accept.
 	MaxHold time.Duration
 	// Leaving reports whether the instance is shutting down.
@@ -170,12 +174,12 @@
 func New(o Options) *Keeper {
 	k := &Keeper{
 		service: o.Service, self: o.Self, syncer: o.Syncer, store: o.Store, granter: o.Granter, pool: o.Pool, alive: o.Alive,
-		owners: o.Owners, log: o.Log.With().Str("service", o.Service).Logger(), leaving: o.Leaving, hold: min(defaultHold, o.MaxHold),
+		owners: o.Owners, log: o.Log.With().Str("service", o.Service).Logger(), leaving: o.Leaving, guard: o.Guard, hold: min(defaultHold, o.MaxHold),
 		grantStates: map[owner]*grantState{}, ratings: map[string]*rating{},
 	}
 	c, stop := context.WithCancel(context.Background())
 	k.cancel = stop
-	k.group.Go(func() { clock.Every(c, tick, func() { k.step(c) }) })
+	k.run(func() { clock.Every(c, tick, func() { k.step(c) }) })
 	return k
 }
 
@@ -296,6 +300,10 @@
 		h := k.grantStates[o]
 		h.renewing, h.renewedAt = true, now
 		at := v.Targets[o.id].Endpoint()
-		k.group.Go(func() { k.renewTarget(c, h, at, rs) })
+		k.run(func() { k.renewTarget(c, h, at, rs) })
 	}
 }
+
+// run runs f in the background. After a panic the keeper no longer knows which grants
+// it has sent, so that the instance leaves and another one takes over.
+func (k *Keeper) run(f func()) { k.group.Go(func() { k.guard.Once("keeper", f) }) }
--- a/internal/gate/keeper/move.go
+++ b/internal/gate/keeper/move.go
@@ -67,7 +67,7 @@
 	for _, n := range moves {
 		k.paused = append(k.paused, n.Range)
 	}
-	k.group.Go(func() { k.moveAll(c, v, t, moves, why) })
+	k.run(func() { k.moveAll(c, v, t, moves, why) })
 }
 
 // change is the state of the assignment at the start of a change.
@@ -268,7 +268,7 @@
 		g.Go(func() {
 			h.callMu.Lock()
 			defer h.callMu.Unlock()
-			f(i, h, t)
+			k.guard.Once("keeper", func() { f(i, h, t) })
 		})
 	}
 	g.Wait()
@@ -285,7 +285,7 @@
 		if i.ID == k.self.ID || k.alive.Suspected(i) {
 			continue
 		}
-		k.group.Go(func() {
+		k.run(func() {
 			c, stop := context.WithTimeout(c, announceTimeout)
 			defer stop()
 			if err := k.pool.Call(c, i.RPCAddress, "Gate.Keys", q, &schema.Empty{}); err != nil && !errors.Is(err, context.Canceled) {
--- a/internal/gate/keeper/move_test.go
+++ b/internal/gate/keeper/move_test.go
@@ -55,7 +55,7 @@
 	}
 	self := peer.Instance{ID: "i0", Incarnation: "run-1", Region: "a", FailureDomain: "a1"}
 	store, pool, live := platform.NewStore(m.Address()), relay.NewPool(relay.Options{}), alive.New(self.ID)
-	s := syncer.New(self, store, pool, live, fake.DefaultDrain, zerolog.Nop())
+	s := syncer.New(self, store, pool, live, fake.DefaultDrain, zerolog.Nop(), nil)
 	s.Start()
 	f.Keeper = &Keeper{
 		service: "quotes", self: self, syncer: s, store: store, granter: platform.NewGranter(), pool: pool, alive: live,
--- a/internal/gate/keeper/release.go
+++ b/internal/gate/keeper/release.go
@@ -25,7 +25,7 @@
 	out := make([]handover, len(moves))
 	var g sync.WaitGroup
 	for i, m := range moves {
-		g.Go(func() { out[i] = k.release(c, v, takeover, m.Range) })
+		g.Go(func() { k.guard.Once("keeper", func() { out[i] = k.release(c, v, takeover, m.Range) }) })
 	}
 	g.Wait()
 	return out
--- a/internal/gate/keeper/watch.go
+++ b/internal/gate/keeper/watch.go
@@ -130,7 +130,7 @@
 		return
 	}
 	w.busy, w.pingedAt = true, now
-	k.group.Go(func() { k.pingKeeperOnce(c, now, i) })
+	k.run(func() { k.pingKeeperOnce(c, now, i) })
 }
 
 func (k *Keeper) pingKeeperOnce(c context.Context, now clock.Time, i peer.Instance) {
@@ -180,7 +180,7 @@
 		since = w.since
 	}
 	silence := now.Sub(since)
-	k.group.Go(func() { k.takeOverOnce(c, n, m, predecessorEnded, silence) })
+	k.run(func() { k.takeOverOnce(c, n, m, predecessorEnded, silence) })
 }
 
 // checkPredecessor ends the wait for a predecessor's authority once that run
@@ -200,7 +200,7 @@
 	}
 	k.pingingPredecessor, k.predecessorPingedAt = true, now
 	q := &schema.PingRequest{InstanceId: k.self.ID, Service: k.service, Epoch: k.row.Epoch}
-	k.group.Go(func() { k.pingPredecessor(c, i, q) })
+	k.run(func() { k.pingPredecessor(c, i, q) })
 }
 
 // endPredecessorAuthority reduces the wait to the expiry of the last grants of
--- a/internal/gate/meter/meter.go
+++ b/internal/gate/meter/meter.go
@@ -86,3 +86,8 @@
 func (m *Meter) SetConfiguration(version uint64) {
 	m.scope.Gauge("configuration_version").Update(float64(version))
 }
+
+// Panic counts a panic of a duty of the instance.
+func (m *Meter) Panic(duty string) {
+	m.scope.Tagged(map[string]string{"duty": duty}).Counter("panics").Inc(1)
+}
--- a/internal/gate/router/fleet.go
+++ b/internal/gate/router/fleet.go
@@ -22,7 +22,8 @@
 )
 
 // State tells what this instance runs with.
-func (g *gate) State(_ *schema.StateRequest, a *schema.StateReply) error {
+func (g *gate) State(_ *schema.StateRequest, a *schema.StateReply) (err error) {
+	defer g.n.guard.Recover("state", &err)
 	n := g.n
 	n.mu.Lock()
 	t := n.tuning.State(clock.Boot())
--- a/internal/gate/router/peers.go
+++ b/internal/gate/router/peers.go
@@ -38,7 +38,8 @@
 // Send executes a request. An instance that is shutting down refuses it, since
 // it could end before the answer arrives, and one that has just started because it
 // may not know the target yet.
-func (g *gate) Send(q *schema.SendRequest, a *schema.SendReply) error {
+func (g *gate) Send(q *schema.SendRequest, a *schema.SendReply) (err error) {
+	defer g.n.guard.Recover("send", &err)
 	if r := g.n.unavailable(); r != "" {
 		a.Outcome, a.Reason = schema.SendOutcome_SEND_OUTCOME_REFUSED, r
 		return nil
@@ -59,12 +60,14 @@
 }
 
 // Withdraw cancels a request whose client has disconnected.
-func (g *gate) Withdraw(q *schema.WithdrawRequest, a *schema.Empty) error {
+func (g *gate) Withdraw(q *schema.WithdrawRequest, a *schema.Empty) (err error) {
+	defer g.n.guard.Recover("withdraw", &err)
 	return g.n.homes.Withdraw(q, a)
 }
 
 // Keys receives changes of the owners of keys.
-func (g *gate) Keys(q *schema.KeysRequest, _ *schema.Empty) error {
+func (g *gate) Keys(q *schema.KeysRequest, _ *schema.Empty) (err error) {
+	defer g.n.guard.Recover("keys", &err)
 	g.n.owners.Update(clock.Boot(), q)
 	return nil
 }
@@ -76,7 +79,8 @@
 // Ping returns the incarnation of the instance, whether it is shutting down or
 // has lost the store, and whether it is the keeper of the service in the
 // request. A higher epoch in the request makes it step down.
-func (g *gate) Ping(q *schema.PingRequest, a *schema.PingReply) error {
+func (g *gate) Ping(q *schema.PingRequest, a *schema.PingReply) (err error) {
+	defer g.n.guard.Recover("ping", &err)
 	a.Incarnation, a.Leaving, a.Starting = g.n.self.Incarnation, g.n.leaving.Load(), !g.n.syncer.KnowsTargets()
 	a.StoreLost = g.n.syncer.Age() > storeLostAge
 	g.n.mu.Lock()
@@ -92,7 +96,8 @@
 }
 
 // Load receives counts of requests for keys.
-func (g *gate) Load(q *schema.KeyLoadRequest, _ *schema.Empty) error {
+func (g *gate) Load(q *schema.KeyLoadRequest, _ *schema.Empty) (err error) {
+	defer g.n.guard.Recover("load", &err)
 	g.n.mu.Lock()
 	k := g.n.keepers[q.Service]
 	g.n.mu.Unlock()
@@ -142,7 +147,7 @@
 
 // deregister removes the instance's row in the background.
 func (n *Instance) deregister() {
-	n.group.Go(func() { n.deleteRow(n.self.ID) })
+	n.group.Go(func() { n.guard.Once("register", func() { n.deleteRow(n.self.ID) }) })
 }
 
 func (n *Instance) deleteRow(id string) {
@@ -188,7 +193,7 @@
 		if d.Keyed && n.keepers[s] == nil {
 			n.keepers[s] = keeper.New(keeper.Options{
 				Service: s, Self: n.self, Syncer: n.syncer, Store: n.store, Granter: n.granter, Pool: n.pool, Alive: n.alive,
-				Owners: n.owners, Log: n.log, MaxHold: n.settings.MaxHold, Leaving: n.leaving.Load,
+				Owners: n.owners, Log: n.log, MaxHold: n.settings.MaxHold, Leaving: n.leaving.Load, Guard: n.guard,
 			})
 		}
 	}
@@ -221,7 +226,7 @@
 		}
 		n.mu.Unlock()
 		for _, i := range suspects {
-			n.group.Go(func() { n.probeOne(c, v, i) })
+			n.group.Go(func() { n.guard.Once("probe", func() { n.probeOne(c, v, i) }) })
 		}
 	})
 }
--- a/internal/gate/router/router.go
+++ b/internal/gate/router/router.go
@@ -18,6 +18,7 @@
 	"dandelionrock.example/dandelionrock/internal/edge"
 	"dandelionrock.example/dandelionrock/internal/gate/entry"
 	"dandelionrock.example/dandelionrock/internal/gate/group"
+	"dandelionrock.example/dandelionrock/internal/gate/guard"
 	"dandelionrock.example/dandelionrock/internal/gate/keeper"
 	"dandelionrock.example/dandelionrock/internal/gate/meter"
 	"dandelionrock.example/dandelionrock/internal/gate/sender"
@@ -57,6 +58,10 @@
 	keepAliveCount    = 3
 )
 
+// ErrDutyFailed reports that an instance left because one of its duties could not go
+// on.
+var ErrDutyFailed = errors.New("a duty of the instance could not go on")
+
 // Options are what an instance needs from its process.
 type Options struct {
 	Log zerolog.Logger
@@ -90,6 +95,9 @@
 	meter       *meter.Meter
 	metrics     *http.Server
 	leaving     atomic.Bool
+	guard       *guard.Guard
+	// failed is closed when a duty can't go on.
+	failed chan struct{}
 	// inForce holds the settings that the instance runs with.
 	inForce atomic.Pointer[platform.Settings]
 	started time.Time
@@ -115,14 +123,23 @@
 	if err := n.start(); err != nil {
 		return err
 	}
-	<-c.Done()
+	select {
+	case <-c.Done():
+	case <-n.failed:
+	}
 	n.leave()
-	return n.close()
+	if err := n.close(); err != nil || c.Err() != nil {
+		return err
+	}
+	return ErrDutyFailed
 }
 
 func build(s *platform.Settings, l zerolog.Logger) *Instance {
 	n := &Instance{settings: s, log: l, started: time.Now(), keepers: map[string]*keeper.Keeper{}, suspectedSince: map[string]time.Time{}}
 	n.tuning = tuning.New(clock.Boot(), s)
+	n.meter = meter.New(l)
+	n.failed = make(chan struct{})
+	n.guard = guard.New(l, n.meter.Panic, sync.OnceFunc(func() { close(n.failed) }))
 	n.self.ID, n.self.Incarnation, n.self.RPCAddress = s.Instance, uuid.NewString(), s.Peer.String()
 	n.self.Region, n.self.FailureDomain = s.Region, s.FailureDomain
 	n.store, n.granter = platform.NewStore(s.Store.String()), platform.NewGranter()
@@ -130,10 +147,9 @@
 	o := relay.Options{Dial: func(c context.Context, a string) (net.Conn, error) { return d.DialContext(c, "tcp", a) }}
 	n.pool, n.server = relay.NewPool(o), relay.NewServer(o)
 	n.alive = alive.New(s.Instance)
-	n.syncer = syncer.New(n.self, n.store, n.pool, n.alive, s.Drain, l)
+	n.syncer = syncer.New(n.self, n.store, n.pool, n.alive, s.Drain, l, n.guard)
 	n.owners = &keys.Owners{}
 	n.connections = sender.New()
-	n.meter = meter.New(l)
 	n.homes = group.New(n.syncer, n.connections, l, n.meter)
 	n.entry = entry.New(entry.Options{
 		Self: n.self, Views: n.syncer, Homes: n.homes, Pool: n.pool, Alive: n.alive, Owners: n.owners,
@@ -175,11 +191,11 @@
 	n.group.Go(func() { n.logServerEnd("client", n.client.Start(context.Background())) })
 	n.group.Go(func() { n.logServerEnd("ready", n.ready.Serve(r)) })
 	n.syncer.Start()
-	n.group.Go(func() { n.register(c) })
-	n.group.Go(func() { n.followView(c) })
-	n.group.Go(func() { n.probe(c) })
-	n.group.Go(func() { n.reportLoads(c) })
-	n.group.Go(func() { n.reload(c) })
+	for duty, f := range map[string]func(context.Context){
+		"register": n.register, "follow-view": n.followView, "probe": n.probe, "report-loads": n.reportLoads, "reload": n.reload,
+	} {
+		n.group.Go(func() { n.guard.Run(c, duty, func() { f(c) }) })
+	}
 	n.log.Info().Str("event", "started").Str("incarnation", n.self.Incarnation).Str("settings", tuning.Digest(n.settings)).Str("failure-domain", n.self.FailureDomain).Msg("")
 	return nil
 }
--- a/internal/state/syncer/pull.go
+++ b/internal/state/syncer/pull.go
@@ -106,7 +106,8 @@
 
 // Sync returns what changed in the copies of this instance since the versions in
 // the request. It is called by RPC.
-func (s *Syncer) Sync(q *schema.SyncRequest, a *schema.SyncReply) error {
+func (s *Syncer) Sync(q *schema.SyncRequest, a *schema.SyncReply) (err error) {
+	defer s.guard.Recover("sync", &err)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := clock.Boot()
--- a/internal/state/syncer/syncer.go
+++ b/internal/state/syncer/syncer.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"dandelionrock.example/dandelionrock/clock"
+	"dandelionrock.example/dandelionrock/internal/gate/guard"
 	"dandelionrock.example/dandelionrock/internal/relay"
 	"dandelionrock.example/dandelionrock/internal/state/alive"
 	"dandelionrock.example/dandelionrock/internal/state/delta"
@@ -85,6 +86,7 @@
 	pool  *relay.Pool
 	alive *alive.Set
 	log   zerolog.Logger
+	guard *guard.Guard
 	// drain is the time within which the departure of a target reaches all
 	// instances, in nanoseconds.
 	drain atomic.Int64
@@ -113,8 +115,8 @@
 
 // New returns a Syncer with empty copies. The departure of a target reaches all
 // instances within drain.
-func New(self peer.Instance, s *platform.Store, p *relay.Pool, a *alive.Set, drain time.Duration, l zerolog.Logger) *Syncer {
-	d := &Syncer{self: self, store: s, pool: p, alive: a, log: l}
+func New(self peer.Instance, s *platform.Store, p *relay.Pool, a *alive.Set, drain time.Duration, l zerolog.Logger, g *guard.Guard) *Syncer {
+	d := &Syncer{self: self, store: s, pool: p, alive: a, log: l, guard: g}
 	d.SetDrain(drain)
 	d.copies = [tables]*mirror.Table{mirror.New(bytes.Equal, nil), mirror.New(sameTarget, nil), mirror.New(bytes.Equal, delta.Keys{})}
 	d.copies[targets].DeferRemovals(outageAfter, reregisterTime)
@@ -146,9 +148,9 @@
 	c, stop := context.WithCancel(context.Background())
 	s.cancel = stop
 	for i := range tables {
-		s.wg.Go(func() { s.readLoop(c, i) })
+		s.wg.Go(func() { s.guard.Run(c, "read", func() { s.readLoop(c, i) }) })
 	}
-	s.wg.Go(func() { s.pullLoop(c) })
+	s.wg.Go(func() { s.guard.Run(c, "pull", func() { s.pullLoop(c) }) })
 }
 
 // Close stops the goroutines and waits until they have ended.
