--- a/internal/gate/entry/entry.go
+++ b/internal/gate/entry/entry.go
@@ -325,7 +325,12 @@
 // retryAfter is 0.
 func (e *Entry) refuse(w http.ResponseWriter, r *http.Request, status int, reason string, retryAfter time.Duration) {
 	e.Meter.Request("", reason, 0)
-	e.Log.Info().Str("event", "request-refused").Str("request", r.Header.Get(platform.HeaderAttempt)).Str("host", r.Host).Str("reason", reason).Int("status", status).Msg("")
+	var version uint64
+	if d := e.Views.View().Desired; d != nil {
+		version = d.Version
+	}
+	e.Log.Info().Str("event", "request-refused").Str("request", r.Header.Get(platform.HeaderAttempt)).Str("host", r.Host).
+		Str("reason", reason).Int("status", status).Uint64("config", version).Dur("store-age", e.Age()).Msg("")
 	respond(w, status, r.Header.Get(platform.HeaderAttempt), reason, retryAfter)
 }
 
