meter, check: figures of queues, returns, moves and utilisation; check of gateway settings

Operators could not tell how many requests waited, were refused and came back, how long keys that move have no owner, or how busy the targets are. The command check takes a settings file of the users' platform, prints all its faults and the digest by which fleet names it.

--- a/internal/fault/soak/lapse_test.go
+++ b/internal/fault/soak/lapse_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -39,12 +40,7 @@
 		s.logAction("kill %s", i.id)
 		s.stop(i, syscall.SIGKILL)
 		s.start(i)
-		live = nil
-		for _, v := range s.instances {
-			if v != i {
-				live = append(live, v)
-			}
-		}
+		live = slices.DeleteFunc(slices.Clone(live), func(v *instance) bool { return v == i })
 	}
 	time.Sleep(lapseOutage / 2)
 	s.store.SetFault(0, nil)
--- a/internal/gate/entry/entry.go
+++ b/internal/gate/entry/entry.go
@@ -250,7 +250,8 @@
 		q.key = uint32(n)
 		e.count(q.service.Name, q.key)
 	}
-	q.objective = begin.Add(e.objective(begin, t, deadline, hangup.Reused(r.Context())))
+	o, elapsed := e.objective(begin, t, deadline, hangup.Reused(r.Context()))
+	q.objective, q.returned = begin.Add(o), elapsed > 0
 	fields, _ := header.Fields(r.Header, false)
 	if a := r.Header.Get("Authorization"); a != "" {
 		fields = append(fields, &schema.HeaderField{Name: "Authorization", Value: a})
@@ -277,9 +278,9 @@
 }
 
 // objective returns the time that is left of the route's latency objective, which
-// counts from the client's first attempt. reused tells that the connection has
+// counts from the client's first attempt, and the time since that attempt. reused tells that the connection has
 // served an earlier request.
-func (e *Entry) objective(now clock.Time, t *platform.Route, deadline time.Duration, reused bool) time.Duration {
+func (e *Entry) objective(now clock.Time, t *platform.Route, deadline time.Duration, reused bool) (left, elapsed time.Duration) {
 	o := t.Objective
 	if o <= 0 {
 		o = defaultObjective
@@ -291,7 +292,8 @@
 		a = &slack.Route{}
 		e.deadlines[t.Name] = a
 	}
-	return o - a.Elapsed(now, deadline, reused)
+	elapsed = a.Elapsed(now, deadline, reused)
+	return o - elapsed, elapsed
 }
 
 // goldenRatio is the conjugate of the golden ratio. The fractional parts of its
--- a/internal/gate/entry/entry_test.go
+++ b/internal/gate/entry/entry_test.go
@@ -131,11 +131,11 @@
 	r := &platform.Route{Name: "r", Objective: 800 * time.Millisecond}
 	now := clock.Time(time.Second)
 	for range 100 {
-		if got := e.objective(now, r, 5*time.Second, true); got != 800*time.Millisecond {
+		if got, _ := e.objective(now, r, 5*time.Second, true); got != 800*time.Millisecond {
 			t.Fatalf("objective of a first attempt is %v, want 800ms", got)
 		}
 	}
-	if got := e.objective(now, r, 4500*time.Millisecond, false); got < 150*time.Millisecond || got > 450*time.Millisecond {
+	if got, _ := e.objective(now, r, 4500*time.Millisecond, false); got < 150*time.Millisecond || got > 450*time.Millisecond {
 		t.Errorf("objective of a retry is %v, want about 300ms", got)
 	}
 }
--- a/internal/gate/entry/request.go
+++ b/internal/gate/entry/request.go
@@ -61,6 +61,8 @@
 	queued time.Duration
 	// objective is when the response becomes late, end the deadline.
 	objective, end clock.Time
+	// returned is set if the client had tried before.
+	returned bool
 	// message is the message to the home.
 	message schema.SendRequest
 
--- a/internal/gate/entry/respond.go
+++ b/internal/gate/entry/respond.go
@@ -25,7 +25,7 @@
 		q.logAnswer(a, took, err)
 		return
 	}
-	q.entry.Meter.Request(q.service.Name, q.reason, took)
+	q.count(q.reason, took)
 	q.entry.Log.Info().Str("event", "request-failed").Str("request", q.attempt).Str("route", q.route.Name).Str("service", q.service.Name).
 		Int("status", q.status).Str("reason", q.reason).Dur("took", took).Dur("behind", q.queued).Int("sent", q.sent).Int("unsent", q.unsent).Bool("ran", q.ran).
 		Dur("retry-after", q.retryAfter).Uint64("config", q.config).Uint32("key", q.key).Str("target", q.target).Str("home", q.home).
@@ -33,6 +33,14 @@
 	respond(w, q.status, q.attempt, q.reason, q.retryAfter)
 }
 
+// count counts the request in the metrics.
+func (q *request) count(outcome string, took time.Duration) {
+	q.entry.Meter.Request(q.service.Name, outcome, took)
+	if q.returned {
+		q.entry.Meter.Returned(q.service.Name, outcome)
+	}
+}
+
 // sampleInterval is the number of answered requests for each one that is logged.
 // Requests that were late, took several tries or whose response could not be
 // written are always logged.
@@ -44,7 +52,7 @@
 	if late {
 		outcome = "late"
 	}
-	q.entry.Meter.Request(q.service.Name, outcome, took)
+	q.count(outcome, took)
 	if !late && q.sent+q.unsent == 1 && err == nil && q.message.Call%sampleInterval != 0 {
 		return
 	}
--- a/internal/gate/group/group.go
+++ b/internal/gate/group/group.go
@@ -145,6 +145,7 @@
 	if wait != nil {
 		d = g.wait(c, id, wait)
 	}
+	h.meter.Queue(q.Service, queueOutcome(d), clock.Boot().Sub(now))
 	if d.Verdict != pool.Start {
 		a.Outcome, a.Reason, a.RetryMs = schema.SendOutcome_SEND_OUTCOME_REFUSED, d.Reason, d.Retry.Milliseconds()
 		return
@@ -152,6 +153,14 @@
 	h.execute(c, g, d.Target, q, a, end)
 }
 
+// queueOutcome returns the name of a decision in the metrics.
+func queueOutcome(d pool.Decision) string {
+	if d.Verdict == pool.Start {
+		return "started"
+	}
+	return d.Reason
+}
+
 // offer passes a request to the pool. If the request has to wait, the channel
 // receives the later decision.
 func (g *home) offer(now clock.Time, v *view.View, r pool.Request) (pool.Decision, chan pool.Decision) {
--- a/internal/gate/guard/guard_test.go
+++ b/internal/gate/guard/guard_test.go
@@ -26,39 +26,34 @@
 		if err := call(); !errors.Is(err, ErrPanic) || counted != 1 || !strings.Contains(log.String(), "guard_test.go") {
 			t.Errorf("call: %v, %d counted, log %s", err, counted, &log)
 		}
-		runs := 0
-		g.Run(context.Background(), "heals", func() {
-			if runs++; runs < 3 {
-				panic("planted")
-			}
-		})
-		if runs != 3 || left != 0 {
-			t.Errorf("duty that heals: %d runs, left %d times", runs, left)
-		}
-		runs = 0
-		g.Run(context.Background(), "rare", func() {
-			if runs++; runs < 20 {
-				time.Sleep(panicWindow / (maxPanics - 1))
-				panic("planted")
+		c, stop := context.WithCancel(context.Background())
+		for _, d := range []struct {
+			name string
+			// panics is the number of panics, each after a time.
+			panics     int
+			after      time.Duration
+			runs, left int
+		}{
+			{"heals", 2, 0, 3, 0},
+			{"rare", 19, panicWindow / (maxPanics - 1), 20, 0},
+			{"broken", 1000, 0, maxPanics, 1},
+		} {
+			runs := 0
+			g.Run(c, d.name, func() {
+				if runs++; runs <= d.panics {
+					time.Sleep(d.after)
+					panic("planted")
+				}
+			})
+			if runs != d.runs || left != d.left {
+				t.Errorf("duty %s: %d runs, left %d times", d.name, runs, left)
 			}
-		})
-		if runs != 20 || left != 0 {
-			t.Errorf("duty that fails rarely: %d runs, left %d times", runs, left)
-		}
-		runs = 0
-		g.Run(context.Background(), "broken", func() { runs++; panic("planted") })
-		if runs != maxPanics || left != 1 {
-			t.Errorf("broken duty: %d runs, left %d times", runs, left)
 		}
 		g.Once("keeper", func() { panic("planted") })
-		if left != 2 {
-			t.Errorf("left %d times", left)
-		}
-		c, stop := context.WithCancel(context.Background())
-		runs = 0
+		runs := 0
 		g.Run(c, "stopped", func() { runs++; stop(); panic("planted") })
-		if runs != 1 {
-			t.Errorf("a duty of an instance that has ended runs %d times", runs)
+		if left != 2 || runs != 1 {
+			t.Errorf("left %d times; a duty of an instance that has ended runs %d times", left, runs)
 		}
 	})
 }
--- a/internal/gate/hangup/ahead_test.go
+++ b/internal/gate/hangup/ahead_test.go
@@ -20,13 +20,11 @@
 	serve func(w http.ResponseWriter, r *http.Request)
 	limit int
 
-	mu      sync.Mutex
-	seen    []string
-	running int
-	most    int
+	mu            sync.Mutex
+	seen          []string
+	running, most int
 	// mixed is set if a request other than GET ran beside another one.
-	mixed bool
-	alone bool
+	mixed, alone bool
 }
 
 func (p *parallel) MayRunAhead(r *http.Request) bool { return r.Method == http.MethodGet }
@@ -34,20 +32,21 @@
 
 func (p *parallel) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
+	p.count(1, func() {
+		p.seen = append(p.seen, r.Method+" "+r.RequestURI+" "+string(body))
+		p.mixed = p.mixed || p.alone || r.Method != http.MethodGet && p.running > 1
+		p.alone = r.Method != http.MethodGet
+	})
+	defer p.count(-1, func() { p.alone = false })
+	p.serve(w, r)
+}
+
+func (p *parallel) count(n int, f func()) {
 	p.mu.Lock()
-	p.seen = append(p.seen, r.Method+" "+r.RequestURI+" "+string(body))
-	p.running++
+	defer p.mu.Unlock()
+	p.running += n
 	p.most = max(p.most, p.running)
-	p.mixed = p.mixed || p.alone || r.Method != http.MethodGet && p.running > 1
-	p.alone = r.Method != http.MethodGet
-	p.mu.Unlock()
-	defer func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.running--
-		p.alone = false
-	}()
-	p.serve(w, r)
+	f()
 }
 
 // answers reads the bodies of n responses.
@@ -55,16 +54,13 @@
 	t.Helper()
 	var got []string
 	r := bufio.NewReader(c)
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
 	for range n {
-		_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
 		a, err := http.ReadResponse(r, nil)
 		if err != nil {
 			t.Fatalf("after the answers %v: %v", got, err)
 		}
-		b, err := io.ReadAll(a.Body)
-		if err != nil {
-			t.Fatal(err)
-		}
+		b, _ := io.ReadAll(a.Body)
 		got = append(got, string(b))
 	}
 	return got
@@ -82,13 +78,7 @@
 // Guards against pipelined requests that wait for one another, answers in another
 // order, and requests that are not idempotent and run beside others.
 func TestPipelinedRequestsRunAtTheSameTime(t *testing.T) {
-	get := func(n ...int) string {
-		var b strings.Builder
-		for _, i := range n {
-			fmt.Fprintf(&b, getFormat, i)
-		}
-		return b.String()
-	}
+	get := func(n ...any) string { return fmt.Sprintf(strings.Repeat(getFormat, len(n)), n...) }
 	post := "POST /3 HTTP/1.1\r\nHost: example\r\nContent-Length: 4\r\n\r\nbody"
 	for _, c := range []struct {
 		name, text string
@@ -189,11 +179,7 @@
 				w.Header()["Date"] = nil
 				_, _ = io.WriteString(w, r.Method+r.URL.Path)
 			}}
-			var h http.Handler = p
-			if i == 1 {
-				h = plain{p}
-			}
-			c := serve(t, h)
+			c := serve(t, []http.Handler{p, plain{p}}[i])
 			for b := text.String(); b != ""; {
 				n := 1 + r.IntN(len(b))
 				// The server closes the connection after a malformed request.
@@ -206,10 +192,7 @@
 			_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
 			b, err := io.ReadAll(c)
 			got[i], reset = string(b), reset || err != nil
-			p.mu.Lock()
-			seen[i] = slices.Clone(p.seen)
-			p.mu.Unlock()
-			slices.Sort(seen[i])
+			p.count(0, func() { seen[i] = slices.Sorted(slices.Values(p.seen)) })
 		}
 		// A close with unread bytes resets the connection, and the end of the answers
 		// may be lost.
--- a/internal/gate/keeper/keeper.go
+++ b/internal/gate/keeper/keeper.go
@@ -17,6 +17,7 @@
 
 	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/internal/gate/guard"
+	"dandelionrock.example/dandelionrock/internal/gate/meter"
 	"dandelionrock.example/dandelionrock/internal/plan/hold"
 	"dandelionrock.example/dandelionrock/internal/plan/keys"
 	"dandelionrock.example/dandelionrock/internal/relay"
@@ -77,6 +78,7 @@
 	log     zerolog.Logger
 	leaving func() bool
 	guard   *guard.Guard
+	meter   *meter.Meter
 	// hold is the hold time of grants.
 	hold time.Duration
 
@@ -164,6 +166,7 @@
 	Log     zerolog.Logger
 	// Guard recovers from panics.
 	Guard *guard.Guard
+	Meter *meter.Meter
 	// MaxHold is the longest hold time that targets accept.
 	MaxHold time.Duration
 	// Leaving reports whether the instance is shutting down.
@@ -174,7 +177,7 @@
 func New(o Options) *Keeper {
 	k := &Keeper{
 		service: o.Service, self: o.Self, syncer: o.Syncer, store: o.Store, granter: o.Granter, pool: o.Pool, alive: o.Alive,
-		owners: o.Owners, log: o.Log.With().Str("service", o.Service).Logger(), leaving: o.Leaving, guard: o.Guard, hold: min(defaultHold, o.MaxHold),
+		owners: o.Owners, log: o.Log.With().Str("service", o.Service).Logger(), leaving: o.Leaving, guard: o.Guard, meter: o.Meter, hold: min(defaultHold, o.MaxHold),
 		grantStates: map[owner]*grantState{}, ratings: map[string]*rating{},
 	}
 	c, stop := context.WithCancel(context.Background())
--- a/internal/gate/keeper/move.go
+++ b/internal/gate/keeper/move.go
@@ -57,7 +57,10 @@
 	// the moves for balance.
 	if len(moves) == 0 && now.Sub(k.rebalancedAt) >= rebalanceInterval && k.syncer.Age() < maxFreshAge && k.storeAnswers(c, now) {
 		k.rebalancedAt = now
-		moves, why = k.balancer.Plan(k.row.Ranges, m, k.load.Rates(now), max(minMoveLimit, len(m)/targetsPerMove)), whyBalance
+		rates := k.load.Rates(now)
+		moves, why = k.balancer.Plan(k.row.Ranges, m, rates, max(minMoveLimit, len(m)/targetsPerMove)), whyBalance
+		highest, mean := keys.Utilisation(k.row.Ranges, m, rates)
+		k.meter.Utilisation(k.service, highest, mean)
 	}
 	if len(moves) == 0 {
 		return
@@ -196,18 +199,20 @@
 	if why == whyBalance {
 		maxRefusals = maxBalanceRefusals
 	}
-	n, sent, err := k.commit(c, row, t.version, maxRefusals)
+	version, sent, err := k.commit(c, row, t.version, maxRefusals)
 	if errors.Is(err, platform.ErrRefused) {
 		k.regrantReleased(c, v, t, moves, handovers)
 	}
-	if err != nil || !k.applyChange(t, n, sent) {
+	if err != nil || !k.applyChange(t, version, sent) {
 		k.log.Warn().Str("event", "move-failed").Uint64("epoch", row.Epoch).Str("why", why).Int("ranges", len(changed)).Err(err).Msg("")
 		return
 	}
 	k.grantAll(c, v, changed, handoverTexts)
 	k.announce(c, v, &schema.KeysRequest{Service: k.service, Epoch: row.Epoch, Ranges: changed})
+	n, took := countKeys(changed), clock.Boot().Sub(begin)
+	k.meter.KeysMoved(k.service, why, n, took)
 	k.log.Info().Str("event", "keys-moved").Uint64("epoch", row.Epoch).Str("why", why).Int("ranges", len(changed)).
-		Int("keys", countKeys(changed)).Dur("took", clock.Boot().Sub(begin)).Msg("")
+		Int("keys", n).Dur("took", took).Msg("")
 }
 
 // assignFreed returns the ranges that became free with their new owners, and the
--- a/internal/gate/keeper/move_test.go
+++ b/internal/gate/keeper/move_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"dandelionrock.example/dandelionrock/clock"
+	"dandelionrock.example/dandelionrock/internal/gate/meter"
 	"dandelionrock.example/dandelionrock/internal/plan/keys"
 	"dandelionrock.example/dandelionrock/internal/relay"
 	"dandelionrock.example/dandelionrock/internal/state/alive"
@@ -59,7 +60,7 @@
 	s.Start()
 	f.Keeper = &Keeper{
 		service: "quotes", self: self, syncer: s, store: store, granter: platform.NewGranter(), pool: pool, alive: live,
-		owners: &keys.Owners{}, log: zerolog.Nop(), leaving: func() bool { return false }, hold: fixtureHold,
+		owners: &keys.Owners{}, log: zerolog.Nop(), meter: meter.New(zerolog.Nop()), leaving: func() bool { return false }, hold: fixtureHold,
 		grantStates: map[owner]*grantState{}, ratings: map[string]*rating{},
 	}
 	t.Cleanup(func() {
--- a/internal/gate/meter/meter.go
+++ b/internal/gate/meter/meter.go
@@ -91,3 +91,31 @@
 func (m *Meter) Panic(duty string) {
 	m.scope.Tagged(map[string]string{"duty": duty}).Counter("panics").Inc(1)
 }
+
+// Queue records how long a request waited at its home for a slot, and what became of
+// it: started, or the reason of a refusal.
+func (m *Meter) Queue(service, outcome string, waited time.Duration) {
+	s := m.scope.Tagged(map[string]string{"service": service, "outcome": outcome})
+	s.Histogram("queue_wait", latencyBuckets).RecordDuration(waited)
+}
+
+// Returned counts a request of a client that had tried before, by the outcome of this
+// try as in Request.
+func (m *Meter) Returned(service, outcome string) {
+	m.scope.Tagged(map[string]string{"service": service, "outcome": outcome}).Counter("returned_requests").Inc(1)
+}
+
+// KeysMoved counts keys that got another owner, and records how long they had none.
+func (m *Meter) KeysMoved(service, why string, keys int, took time.Duration) {
+	s := m.scope.Tagged(map[string]string{"service": service, "why": why})
+	s.Counter("keys_moved").Inc(int64(keys))
+	s.Histogram("key_move_time", latencyBuckets).RecordDuration(took)
+}
+
+// Utilisation sets the highest and the mean utilisation of the targets that own the
+// keys of a service, as its keeper estimates them.
+func (m *Meter) Utilisation(service string, highest, mean float64) {
+	for which, v := range map[string]float64{"highest": highest, "mean": mean} {
+		m.scope.Tagged(map[string]string{"service": service, "which": which}).Gauge("target_utilisation").Update(v)
+	}
+}
--- a/internal/gate/router/peers.go
+++ b/internal/gate/router/peers.go
@@ -193,7 +193,7 @@
 		if d.Keyed && n.keepers[s] == nil {
 			n.keepers[s] = keeper.New(keeper.Options{
 				Service: s, Self: n.self, Syncer: n.syncer, Store: n.store, Granter: n.granter, Pool: n.pool, Alive: n.alive,
-				Owners: n.owners, Log: n.log, MaxHold: n.settings.MaxHold, Leaving: n.leaving.Load, Guard: n.guard,
+				Owners: n.owners, Log: n.log, MaxHold: n.settings.MaxHold, Leaving: n.leaving.Load, Guard: n.guard, Meter: n.meter,
 			})
 		}
 	}
--- a/internal/gate/sender/faulty_test.go
+++ b/internal/gate/sender/faulty_test.go
@@ -8,7 +8,7 @@
 	"net/netip"
 	"runtime"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -46,58 +46,39 @@
 	strayRejection = "HTTP/1.1 400 Bad Request\r\nNot-Executed: no-id\r\nContent-Length: 0\r\n\r\n"
 )
 
-// Guards against a refusal of a request that runs: a second copy of the rejection of
-// its first sending arrives when the response to the second one is due.
-func TestLateCopyOfARejection(t *testing.T) {
-	p := startServer(t, func(n int, c net.Conn, next func() bool) {
-		for i := 0; next(); i++ {
-			switch {
-			case n == 0 && i == 0:
-				_, _ = c.Write([]byte(rejected))
-			case i > 0:
-				_, _ = c.Write([]byte(rejected + complete))
-			default:
-				_, _ = c.Write([]byte(complete))
+// Guards against a refusal of a request that runs. A second copy of the rejection of
+// its first sending arrives when the response to the second one is due, or one
+// without an attempt id, which belongs to something sent before.
+func TestFalseRejections(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// first and later are the responses on a connection; fresh is the first one
+		// on all connections after the first.
+		first, later, fresh string
+		// notRun and err are the outcomes of the sendings: whether each is said not to
+		// have run, and its error.
+		notRun []bool
+		err    []error
+	}{
+		{"late copy", rejected, rejected + complete, complete, []bool{true, false}, []error{nil, nil}},
+		{"without an attempt", complete, strayRejection + complete, strayRejection, []bool{false, false, true}, []error{nil, ErrNoResponse, nil}},
+	} {
+		p := startServer(t, func(n int, k net.Conn, next func() bool) {
+			for text := []string{c.first, c.fresh}[min(n, 1)]; next(); text = c.later {
+				_, _ = k.Write([]byte(text))
 			}
-		}
-	})
-	l := New()
-	defer l.Close()
-	if a, err := l.Do(context.Background(), p, request("a")); err != nil || !a.NotRun {
-		t.Fatalf("first sending: %+v, %v", a, err)
-	}
-	if a, err := l.Do(context.Background(), p, request("a")); err != nil || a.NotRun {
-		t.Errorf("second sending, which ran: %+v, %v", a, err)
-	}
-	// Other attempts go on using the first connection.
-	if n := l.Dials(); n != 2 {
-		t.Errorf("%d connections were opened", n)
-	}
-}
-
-// Guards against a refusal of a request that runs: a rejection without an attempt id
-// belongs to something sent before.
-func TestRejectionWithoutAnAttempt(t *testing.T) {
-	p := startServer(t, func(n int, c net.Conn, next func() bool) {
-		for i := 0; next(); i++ {
-			switch {
-			case n == 1 || i == 1:
-				_, _ = c.Write([]byte(strayRejection + complete))
-			default:
-				_, _ = c.Write([]byte(complete))
+		})
+		l := New()
+		for i := range c.err {
+			a, err := l.Do(context.Background(), p, request("a"))
+			if !errors.Is(err, c.err[i]) || err == nil && a.NotRun != c.notRun[i] {
+				t.Errorf("%s, sending %d: %+v, %v", c.name, i, a, err)
 			}
 		}
-	})
-	l := New()
-	defer l.Close()
-	if _, err := l.Do(context.Background(), p, request("a")); err != nil {
-		t.Fatal(err)
-	}
-	if a, err := l.Do(context.Background(), p, request("a")); !errors.Is(err, ErrNoResponse) {
-		t.Errorf("on a connection in use again: %+v, %v", a, err)
-	}
-	if a, err := l.Do(context.Background(), p, request("a")); err != nil || !a.NotRun {
-		t.Errorf("on a new connection: %+v, %v", a, err)
+		if n := l.Dials(); n != 2 {
+			t.Errorf("%s: %d connections were opened", c.name, n)
+		}
+		_ = l.Close()
 	}
 }
 
@@ -138,35 +119,27 @@
 			}
 		})
 		runtime.GC()
-		var g sync.WaitGroup
-		done := make(chan struct{})
+		var running atomic.Int64
 		begin := time.Now()
 		for range atOnce {
-			g.Go(func() {
+			running.Add(1)
+			go func() {
+				defer running.Add(-1)
 				r := request("a")
 				r.End = time.Now().Add(time.Minute)
 				if a, err := l.Do(context.Background(), p, r); !errors.Is(err, ErrNoResponse) {
 					t.Errorf("%s: response %+v, %v", name, a, err)
 				}
-			})
+			}()
 		}
-		go func() { g.Wait(); close(done) }()
-		var most uint64
-		for waiting := true; waiting; {
+		for ; running.Load() > 0; time.Sleep(5 * time.Millisecond) {
 			var m runtime.MemStats
-			runtime.ReadMemStats(&m)
-			most = max(most, m.HeapAlloc)
+			if runtime.ReadMemStats(&m); m.HeapAlloc > smallestMemory {
+				t.Errorf("%s: the heap has %d MB", name, m.HeapAlloc>>20)
+			}
 			if _, err := l.Do(context.Background(), good, request("a")); err != nil {
 				t.Errorf("%s: another request: %v", name, err)
 			}
-			select {
-			case <-done:
-				waiting = false
-			case <-time.After(5 * time.Millisecond):
-			}
-		}
-		if most > smallestMemory {
-			t.Errorf("%s: the heap has %d MB", name, most>>20)
 		}
 		if d := time.Since(begin); d > 20*time.Second {
 			t.Errorf("%s: read for %v", name, d)
--- a/internal/plan/keys/plan.go
+++ b/internal/plan/keys/plan.go
@@ -112,6 +112,15 @@
 	p.moves = append(p.moves, Move{r, p.members[to].ID, p.members[to].Born})
 }
 
+// Utilisation returns the highest and the mean utilisation of the members.
+func Utilisation(r Ranges, m []Member, l *Rates) (highest, mean float64) {
+	for _, v := range newPlan(r, m, l).loads {
+		highest = max(highest, v)
+		mean += v / float64(len(m))
+	}
+	return highest, mean
+}
+
 // Owned reports whether every range is owned by one of the members.
 func Owned(r Ranges, m []Member) bool {
 	p := newPlan(nil, m, nil)
--- a/internal/state/syncer/source_test.go
+++ b/internal/state/syncer/source_test.go
@@ -27,7 +27,8 @@
 }
 
 func newSpread(r *rand.Rand, count int, denied float64) *spread {
-	s := &spread{index: map[string]int{}, denied: make([]bool, count), asOf: make([]time.Duration, count), deputy: make([]deputy, count), standIn: make([]time.Duration, count), next: make([]time.Duration, count), pulls: make([]int, count)}
+	times := func() []time.Duration { return make([]time.Duration, count) }
+	s := &spread{index: map[string]int{}, denied: make([]bool, count), asOf: times(), deputy: make([]deputy, count), standIn: times(), next: times(), pulls: make([]int, count)}
 	for i := range count {
 		s.order = append(s.order, peer.Instance{ID: fmt.Sprint("i", i)})
 		s.index[s.order[i].ID] = i
--- a/internal/subcmd/check.go
+++ b/internal/subcmd/check.go
@@ -5,11 +5,15 @@
 	"os"
 
 	"dandelionrock.example/dandelionrock/config"
+	"dandelionrock.example/dandelionrock/internal/gate/tuning"
+	"dandelionrock.example/dandelionrock/platform"
+	"github.com/cockroachdb/errors"
 )
 
 type check struct {
 	r        *run
 	Settings bool `long:"settings" description:"FILE holds the settings of an instance"`
+	Gateway  bool `long:"gateway" description:"FILE holds the settings of an instance on the users' platform"`
 	Args     struct {
 		File string `positional-arg-name:"FILE" required:"yes"`
 	} `positional-args:"yes"`
@@ -18,6 +22,9 @@
 // Execute implements flags.Commander.
 func (c *check) Execute([]string) error {
 	f := c.Args.File
+	if c.Gateway {
+		return c.checkGateway(f)
+	}
 	b, err := os.ReadFile(f)
 	if err != nil {
 		return err
@@ -42,6 +49,24 @@
 	return nil
 }
 
+// checkGateway checks a settings file of the users' platform and prints its digest,
+// by which the command fleet names it.
+func (c *check) checkGateway(file string) error {
+	s, err := platform.ReadSettingsFile(file)
+	var e *platform.SettingsError
+	if errors.As(err, &e) {
+		for _, f := range e.Faults {
+			fmt.Fprintf(c.r.Err, "%s: field %q: %v\n", file, f.Field, f.Cause)
+		}
+		return errors.Newf("%s has %d faults", file, len(e.Faults))
+	}
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(c.r.Out, "%s is valid: settings %s of instance %s in %s\n", file, tuning.Digest(s), s.Instance, s.FailureDomain)
+	return err
+}
+
 type version struct{ r *run }
 
 // Execute implements flags.Commander.
--- a/internal/subcmd/subcmd_test.go
+++ b/internal/subcmd/subcmd_test.go
@@ -89,10 +89,10 @@
 // exit code, with the address of the instance replaced.
 func invoke(t *testing.T, f *fakeInstance, args string) string {
 	t.Helper()
-	s := httptest.NewServer(admin.New(admin.Handler{
+	s := httptest.NewServer(withFleet(admin.New(admin.Handler{
 		Operators: []*config.Operator{{Organisation: "guild", CredentialSHA256: sha256.Sum256([]byte("a"))}},
 		Submitter: f, Reporter: f, Timeline: f,
-	}))
+	})))
 	defer s.Close()
 	var out, errs bytes.Buffer
 	p := Program{
@@ -135,6 +135,13 @@
 		{"check", "check " + guildFile, &fakeInstance{}},
 		{"check-settings", "check --settings ../../examples/instance.toml", &fakeInstance{}},
 		{"check-faults", "check ../../config/testdata/organisation/dependency.toml", &fakeInstance{}},
+		{"check-gateway", "check --gateway testdata/gateway.conf", &fakeInstance{}},
+		{"check-gateway-faults", "check --gateway testdata/gateway-faults.conf", &fakeInstance{}},
+		{"fleet", "fleet --instance URL", &fakeInstance{}},
+		{"fleet-agreeing", "fleet --instance URL/agreeing", &fakeInstance{}},
+		{"fleet-json", "fleet --instance URL/two --json", &fakeInstance{}},
+		{"fleet-bad-url", "fleet --instance 127.0.0.1", &fakeInstance{}},
+		{"fleet-other-server", "fleet --instance URL/other", &fakeInstance{}},
 		{"check-no-file", "check missing.toml", &fakeInstance{}},
 		{"submit-first", "submit --instance URL " + guildFile, &fakeInstance{}},
 		{"submit-based-on", "submit --instance URL --based-on 7 " + guildFile, &fakeInstance{inForce: admin.Config{Version: 7}}},
