--- a/internal/gate/entry/entry.go
+++ b/internal/gate/entry/entry.go
@@ -278,8 +278,8 @@
 }
 
 // objective returns the time that is left of the route's latency objective, which
-// counts from the client's first attempt, and the time since that attempt. reused tells that the connection has
-// served an earlier request.
+// counts from the client's first attempt, and the time since that attempt. reused
+// tells that the connection has served an earlier request.
 func (e *Entry) objective(now clock.Time, t *platform.Route, deadline time.Duration, reused bool) (left, elapsed time.Duration) {
 	o := t.Objective
 	if o <= 0 {
