--- a/review/scene/reborn.go
+++ b/review/scene/reborn.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"dandelionrock.example/dandelionrock/platform"
 )
 
 func init() { cases["reborn"] = rebornWhileDraining }
@@ -16,8 +18,11 @@
 // beats.
 const downTime = time.Second
 
-// rebornWhileDraining drains upstreams one after the other. Each crashes while it drains,
-// and starts again under its id; since it is still to leave, it reports that at once.
+// leaveTime is how long an upstream that drains goes on before it leaves.
+const leaveTime = 8 * time.Second
+
+// rebornWhileDraining drains upstreams in turn. Each crashes while it drains, and starts
+// again under its id; since it is still to leave, it reports that at once.
 func rebornWhileDraining(s *scene) bool {
 	s.configure(1, []string{"quotes"}, route{"r-quotes", "/quotes/", "idempotent", "quotes", "5000ms"})
 	var mu sync.Mutex
@@ -28,7 +33,8 @@
 		id := fmt.Sprintf("i-%d", n)
 		all[id] = (&upstream{id: id, service: "quotes", zone: "a1", slots: 2, sharded: true}).start(s, s.network+".2")
 	}
-	const first, rounds = 8, 6
+	// Two of sixteen upstreams at a time are fewer than the pages allow to leave or crash.
+	const first, rounds, together = 16, 22, 2
 	for n := range first {
 		add(n)
 	}
@@ -66,23 +72,44 @@
 	})
 	time.Sleep(6 * time.Second)
 	for n := range rounds {
+		var round []*upstream
 		mu.Lock()
-		u := all[fmt.Sprintf("i-%d", n)]
+		for i := range together {
+			round = append(round, all[fmt.Sprintf("i-%d", n*together+i)])
+		}
 		mu.Unlock()
-		s.logf("upstream %s reports in the store that it drains", u.id)
-		u.drain()
+		for _, u := range round {
+			s.logf("upstream %s reports in the store that it drains", u.id)
+			u.drain()
+		}
 		if s.trouble {
-			time.Sleep(300 * time.Millisecond)
-			s.logf("upstream %s crashes", u.id)
-			u.crash()
+			time.Sleep(100 * time.Millisecond)
+			for _, u := range round {
+				s.logf("upstream %s crashes", u.id)
+				u.crash()
+			}
 			time.Sleep(downTime)
-			mu.Lock()
-			all[u.id] = u.restart("draining")
-			mu.Unlock()
-			s.logf("upstream %s runs again under its id, at its address, and reports that it drains", u.id)
+			for _, u := range round {
+				again := u.restart("draining")
+				mu.Lock()
+				all[u.id] = again
+				mu.Unlock()
+				s.logf("upstream %s runs again under its id, at its address, and reports that it drains", u.id)
+			}
+		}
+		for i := range together {
+			add(first + n*together + i)
 		}
-		add(first + n)
-		time.Sleep(6 * time.Second)
+		time.AfterFunc(leaveTime, func() {
+			mu.Lock()
+			defer mu.Unlock()
+			for _, u := range round {
+				all[u.id].crash()
+				s.store.Remove(platform.TableTargets, u.id)
+				s.logf("upstream %s has left", u.id)
+			}
+		})
+		time.Sleep(2600 * time.Millisecond)
 	}
 	r := get("/quotes/w5", 2*time.Second)
 	r.key = 1
