keeper: keys of a target restarted while it drains are released before they move

Cause: a grant names its target by id and address, not by run. Until the keeper's copy shows a restart, renewals for the former run reach the new one, which accepts them. The later row was then taken as proof that the keys are free; it proves that the former run has ended, and not that nobody received its grants. A target that leaves gets no keys back, so they went to others at once.

Ruled out: late grants (all are answered in milliseconds), a takeover (one keeper throughout); the log has how=run-ended for each such range.

Change: grants are recorded for each target instead of each run. If a later run has the address of the owner, keys are free for others only when it has released them, under a raised fence, or when the last grants have expired, those of earlier keepers included. A later run at another address, and another target at the address, end the hold as before.

TestRestartedTargetKeepsItsKeys guards the quick way of a target that may own keys again.

--- a/internal/gate/keeper/fence.go
+++ b/internal/gate/keeper/fence.go
@@ -13,7 +13,7 @@
 )
 
 // goneHold is the hold time of grants that raise the fence of a target that is
-// gone from the store. Such a grant must expire before the next attempt.
+// gone from the store, or was restarted. Such a grant must expire before the next attempt.
 // Otherwise the keys of an owner that receives the calls but can't answer would
 // never become free.
 const goneHold = time.Second
@@ -23,13 +23,14 @@
 
 // raiseFence makes sure, before a target is asked to release keys, that it will
 // refuse every grant that may still be in flight: those of earlier keepers, and
-// those that it has not answered. It returns the range with the fence that the
-// target has acknowledged. The caller holds the target's callMu.
+// those that it has not answered. A later run than the owner has seen none of the
+// owner's fences. It returns the range with the fence that the target has
+// acknowledged. The caller holds the target's callMu.
 func (k *Keeper) raiseFence(c context.Context, takeover int, h *grantState, t *platform.Target, r *schema.KeyRange, d time.Duration) (*schema.KeyRange, error) {
 	k.mu.Lock()
 	settled := h.hold.Settled(r)
 	k.mu.Unlock()
-	if settled {
+	if settled && t.Born == r.Born {
 		return r, nil
 	}
 	return k.grantHigher(c, takeover, h, t, r, d, "")
--- a/internal/gate/keeper/keeper.go
+++ b/internal/gate/keeper/keeper.go
@@ -102,8 +102,8 @@
 	failingSince clock.Time
 	// answeredAt is when the store last answered a call; 0 if it never did.
 	answeredAt clock.Time
-	// grantStates records the grants of each owner.
-	grantStates map[owner]*grantState
+	// grantStates records the grants of each target, by its id.
+	grantStates map[string]*grantState
 	// moving is set while a change of the assignment is in progress. paused
 	// holds the ranges that it moves: a range that overlaps any of them is not
 	// renewed meanwhile, even after the range was split.
@@ -145,13 +145,7 @@
 	watch   watch
 }
 
-// owner identifies the run of a target that owns keys.
-type owner struct {
-	id   string
-	born int64
-}
-
-// grantState records the grants to one run of a target.
+// grantState records the grants to a target, whichever of its runs receives them.
 type grantState struct {
 	// callMu serialises the calls to the target, so that a renewal can't follow
 	// a release.
@@ -190,7 +184,7 @@
 	k := &Keeper{
 		service: o.Service, self: o.Self, syncer: o.Syncer, store: o.Store, granter: o.Granter, pool: o.Pool, alive: o.Alive,
 		owners: o.Owners, log: o.Log.With().Str("service", o.Service).Logger(), leaving: o.Leaving, guard: o.Guard, meter: o.Meter, hold: min(defaultHold, o.MaxHold),
-		grantStates: map[owner]*grantState{}, ratings: map[string]*rating{},
+		grantStates: map[string]*grantState{}, ratings: map[string]*rating{},
 	}
 	c, stop := context.WithCancel(context.Background())
 	k.cancel = stop
@@ -291,11 +285,10 @@
 // grantState returns the record of the owner of a range, which it creates if
 // needed. The caller holds mu.
 func (k *Keeper) grantState(r *schema.KeyRange) *grantState {
-	o := owner{r.Target, r.Born}
-	h := k.grantStates[o]
+	h := k.grantStates[r.Target]
 	if h == nil {
 		h = &grantState{}
-		k.grantStates[o] = h
+		k.grantStates[r.Target] = h
 	}
 	return h
 }
@@ -307,20 +300,20 @@
 	if k.row == nil {
 		return
 	}
-	due := map[owner][]*schema.KeyRange{}
+	due := map[string][]*schema.KeyRange{}
 	for _, r := range k.row.Ranges {
 		t := v.Targets[r.Target]
 		if t == nil || t.Born != r.Born || t.Service != k.service || k.isPaused(r) {
 			continue
 		}
-		if h := k.grantState(r); !h.renewing && !h.hold.HasEnded() && now.Sub(h.renewedAt) >= k.hold/renewalsPerHold {
-			due[owner{r.Target, r.Born}] = append(due[owner{r.Target, r.Born}], r)
+		if h := k.grantState(r); !h.renewing && !h.hold.HasEnded(r.Born) && now.Sub(h.renewedAt) >= k.hold/renewalsPerHold {
+			due[r.Target] = append(due[r.Target], r)
 		}
 	}
-	for o, rs := range due {
-		h := k.grantStates[o]
+	for id, rs := range due {
+		h := k.grantStates[id]
 		h.renewing, h.renewedAt = true, now
-		at := v.Targets[o.id].Endpoint()
+		at := v.Targets[id].Endpoint()
 		k.run(func() { k.renewTarget(c, h, at, rs) })
 	}
 }
--- a/internal/gate/keeper/move.go
+++ b/internal/gate/keeper/move.go
@@ -136,10 +136,11 @@
 func (k *Keeper) readyMoves(now clock.Time, v *view.View, moves []keys.Move) []keys.Move {
 	var ready, gone []keys.Move
 	for _, m := range moves {
+		t := k.holder(v, m.Range)
 		switch {
-		case k.isFree(now, v, m.Range), k.ownerIsLive(v, m.Range) && k.releaseDue(now, v, m.Range, releaseInterval):
+		case k.freedBy(now, v, m) != "", t != nil && k.releaseDue(now, m.Range, releaseInterval):
 			ready = append(ready, m)
-		case !k.ownerIsLive(v, m.Range) && k.releaseDue(now, v, m.Range, goneReleaseInterval):
+		case t == nil && v.Run(m.Range.Target, m.Range.Born) != nil && k.releaseDue(now, m.Range, goneReleaseInterval):
 			gone = append(gone, m)
 		}
 	}
@@ -149,29 +150,41 @@
 	return gone
 }
 
-// isFree reports whether the owner of a range can't hold keys any more: its run
-// has ended, or its last grant and those of earlier keepers have expired. The
-// caller holds mu.
-func (k *Keeper) isFree(now clock.Time, v *view.View, r *schema.KeyRange) bool {
-	if v.Ended(r.Target, r.Born) {
-		return true
-	}
+// freedBy returns why no target but the next owner can hold a range any more, or the
+// empty string if one may: the owner's run has ended, or its last grant and those of
+// earlier keepers have expired. A later run of the target may have received the owner's
+// grants, and holds the range by them until they expire. The caller holds mu.
+func (k *Keeper) freedBy(now clock.Time, v *view.View, m keys.Move) string {
+	r := m.Range
 	h := &k.grantState(r).hold
-	return h.HasEnded() || h.Free(now) && now >= k.predecessorEnd
+	switch {
+	case h.HasEnded(r.Born):
+		return freedByReplacement
+	case v.Ended(r.Target, r.Born) && (m.Target == r.Target || v.LaterRun(r.Target, r.Born) == nil):
+		return freedByEnd
+	case h.Free(now) && now >= k.predecessorEnd:
+		return freedByExpiry
+	}
+	return ""
 }
 
-// ownerIsLive reports whether the owner of a range is in the store and not
-// known to have ended. It must be asked to release the range even if its grants
-// have expired, since a delayed grant may still arrive. The caller holds mu.
-func (k *Keeper) ownerIsLive(v *view.View, r *schema.KeyRange) bool {
-	t := v.Targets[r.Target]
-	return t != nil && t.Born == r.Born && !k.grantState(r).hold.HasEnded()
+// holder returns the run in the store that may hold a range: its owner, or a later run
+// that may have received the owner's grants. It returns nil if there is none. The caller
+// holds mu.
+func (k *Keeper) holder(v *view.View, r *schema.KeyRange) *platform.Target {
+	if k.grantState(r).hold.HasEnded(r.Born) {
+		return nil
+	}
+	if t := v.Targets[r.Target]; t != nil && t.Born == r.Born {
+		return t
+	}
+	return v.LaterRun(r.Target, r.Born)
 }
 
-// releaseDue reports whether the owner of a range has a known address and was
-// last asked to release keys at least interval ago. The caller holds mu.
-func (k *Keeper) releaseDue(now clock.Time, v *view.View, r *schema.KeyRange, interval time.Duration) bool {
-	return v.Run(r.Target, r.Born) != nil && now.Sub(k.grantState(r).releaseAskedAt) >= interval
+// releaseDue reports whether the target that owns a range was last asked to release keys
+// at least interval ago. The caller holds mu.
+func (k *Keeper) releaseDue(now clock.Time, r *schema.KeyRange, interval time.Duration) bool {
+	return now.Sub(k.grantState(r).releaseAskedAt) >= interval
 }
 
 // releaseInterval is the time between two attempts to make a target release
--- a/internal/gate/keeper/move_test.go
+++ b/internal/gate/keeper/move_test.go
@@ -29,6 +29,7 @@
 	*Keeper
 	t         *testing.T
 	fakeStore *fake.Store
+	ledger    *fake.Ledger
 	targets   map[string]*fake.Target
 }
 
@@ -45,8 +46,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &fixture{t: t, fakeStore: m, targets: map[string]*fake.Target{}}
 	ledger := fake.NewLedger()
+	f := &fixture{t: t, fakeStore: m, ledger: ledger, targets: map[string]*fake.Target{}}
 	for _, id := range []string{"a", "b"} {
 		v := &fake.Target{ID: id, Service: "quotes", Domain: "a1", Keyed: true, Slots: 2, ServiceTime: time.Millisecond}
 		if err := v.Start("127.0.0.1:0", m, ledger); err != nil {
@@ -61,7 +62,7 @@
 	f.Keeper = &Keeper{
 		service: "quotes", self: self, syncer: s, store: store, granter: platform.NewGranter(), pool: pool, alive: live,
 		owners: &keys.Owners{}, log: zerolog.Nop(), meter: meter.New(zerolog.Nop()), leaving: func() bool { return false }, hold: fixtureHold,
-		grantStates: map[owner]*grantState{}, ratings: map[string]*rating{},
+		grantStates: map[string]*grantState{}, ratings: map[string]*rating{},
 	}
 	t.Cleanup(func() {
 		m.SetFault(0, nil)
--- a/internal/gate/keeper/release.go
+++ b/internal/gate/keeper/release.go
@@ -25,7 +25,7 @@
 	out := make([]handover, len(moves))
 	var g sync.WaitGroup
 	for i, m := range moves {
-		g.Go(func() { k.guard.Once("keeper", func() { out[i] = k.release(c, v, takeover, m.Range) }) })
+		g.Go(func() { k.guard.Once("keeper", func() { out[i] = k.release(c, v, takeover, m) }) })
 	}
 	g.Wait()
 	return out
@@ -39,29 +39,31 @@
 	freedByRelease     = "released"
 )
 
-// release makes sure that the owner of a range no longer holds it: its run has
-// ended, its grants have expired, or it releases the range when asked.
-func (k *Keeper) release(c context.Context, v *view.View, takeover int, r *schema.KeyRange) handover {
+// release makes sure that no target but the next owner of a range holds it: the
+// owner's run has ended, its grants have expired, or the target releases the range
+// when asked. An owner in the store is asked even if its grants have expired, since
+// a delayed grant may still arrive.
+func (k *Keeper) release(c context.Context, v *view.View, takeover int, m keys.Move) handover {
+	r := m.Range
 	k.mu.Lock()
 	h := k.grantState(r)
-	t := v.Run(r.Target, r.Born)
-	live := k.ownerIsLive(v, r)
-	if !live && k.isFree(clock.Boot(), v, r) {
+	t := k.holder(v, r)
+	if by := k.freedBy(clock.Boot(), v, m); by != "" && (t == nil || t.Born != r.Born) {
 		k.mu.Unlock()
-		if v.Ended(r.Target, r.Born) {
-			return k.logFreed(r, freedByEnd, "")
-		}
-		return k.logFreed(r, freedByExpiry, "")
+		return k.logFreed(r, by, "")
 	}
 	h.releaseAskedAt = clock.Boot()
 	k.mu.Unlock()
+	limit, d := releaseTimeout, k.hold
+	switch {
+	case t == nil:
+		t, limit, d = v.Run(r.Target, r.Born), goneReleaseTimeout, min(goneHold, k.hold)
+	case t.Born != r.Born:
+		d = min(goneHold, k.hold)
+	}
 	if t == nil {
 		return handover{}
 	}
-	limit, d := goneReleaseTimeout, min(goneHold, k.hold)
-	if live {
-		limit, d = releaseTimeout, k.hold
-	}
 	c, stop := context.WithTimeout(c, limit)
 	defer stop()
 	h.callMu.Lock()
--- a/internal/gate/keeper/watch.go
+++ b/internal/gate/keeper/watch.go
@@ -249,7 +249,7 @@
 	now := clock.Boot()
 	k.takeovers++
 	k.row, k.version, k.confirmed = proto.CloneOf(n), version, sent
-	k.grantStates, k.paused = map[owner]*grantState{}, nil
+	k.grantStates, k.paused = map[string]*grantState{}, nil
 	k.moving, k.fenceRefused, k.raisedFences = false, false, 0
 	k.predecessorEnd, k.predecessor = now, ""
 	if m.Keeper != "" {
--- a/internal/plan/hold/hold.go
+++ b/internal/plan/hold/hold.go
@@ -1,6 +1,10 @@
-// Package hold tracks how long one run of a target may hold keys by the grants
-// that it was sent. It performs no I/O; the caller passes the time and the
-// outcome of each call.
+// Package hold tracks how long a target may hold keys by the grants that it was
+// sent. It performs no I/O; the caller passes the time and the outcome of each
+// call.
+//
+// A grant names its target, but not the run of it. After a restart, the new run
+// takes grants that were meant for the one before, so that one Hold covers all
+// runs of a target.
 //
 // A grant without an answer may take effect later, even after newer ones, and its
 // TTL counts from its arrival. So a target may hold keys until the last grant that
@@ -38,14 +42,13 @@
 	Unsent
 	// Refused grants have a lower fence than the target has seen.
 	Refused
-	// Ended states that the run of the target has ended.
+	// Ended states that another target has the address, so that the run has ended.
 	Ended
 	// Unknown grants may be in force or may take effect later.
 	Unknown
 )
 
-// Hold is the state of the grants of one run of a target. The zero value has no
-// grants.
+// Hold is the state of the grants of a target. The zero value has no grants.
 type Hold struct {
 	// expiry is when the last grant has expired at the latest.
 	expiry clock.Time
@@ -55,7 +58,10 @@
 	acknowledged keys.Ranges
 	// unansweredFence is the highest fence of grants without an answer.
 	unansweredFence uint64
-	ended           bool
+	// ended is set if another target had the address of a run; lastEnded is the
+	// latest such run.
+	ended     bool
+	lastEnded int64
 }
 
 // Longest returns the longest time for which a target may hold keys by a grant for
@@ -89,7 +95,8 @@
 	case Unsent, Refused:
 		h.expiry = before
 	case Ended:
-		h.ended = true
+		h.expiry = before
+		h.ended, h.lastEnded = true, max(h.lastEnded, r.Born)
 	case Unknown:
 		h.unansweredFence = max(h.unansweredFence, r.Fence)
 	}
@@ -105,7 +112,8 @@
 
 // Free reports whether the target certainly holds no keys by grants of this
 // keeper.
-func (h *Hold) Free(now clock.Time) bool { return h.ended || now >= h.expiry }
+func (h *Hold) Free(now clock.Time) bool { return now >= h.expiry }
 
-// HasEnded reports whether the run of the target is known to have ended.
-func (h *Hold) HasEnded() bool { return h.ended }
+// HasEnded reports whether another target had the address of a run that began at
+// born, so that no run of the target holds keys by the grants sent there.
+func (h *Hold) HasEnded(born int64) bool { return h.ended && born <= h.lastEnded }
--- a/internal/state/view/view.go
+++ b/internal/state/view/view.go
@@ -176,9 +176,24 @@
 	return nil
 }
 
+// LaterRun returns the present run of a target if it is later than a given one and may
+// have received calls to it: it has the same address, or that of the given run is not
+// known. It returns nil if there is none.
+func (v *View) LaterRun(id string, born int64) *platform.Target {
+	t := v.Targets[id]
+	if t == nil || t.Born <= born {
+		return nil
+	}
+	if old := v.Run(id, born); old != nil && old.Address != t.Address {
+		return nil
+	}
+	return t
+}
+
 // Ended reports whether a run of a target is known to have ended: a later run of
 // the target has registered, or a later target has its address. A run without a row
-// may still go on, unable to reach the store.
+// may still go on, unable to reach the store. Calls to a run that has ended may have
+// been received by the one that LaterRun returns.
 func (v *View) Ended(id string, born int64) bool {
 	if t := v.Targets[id]; t != nil {
 		return t.Born > born
