keys: a plan ends when the first key is busy

Cause: prefixWithin returned the key before the range for an empty prefix. Before key 0 that is in unsigned arithmetic, and heaviestSubrange began again at 0 without end. It returns a count now.

Ruled out by reading and by the test: prefixReaching, Without, split and the other end of the key space, which compare before they add or subtract.

Test, failing before: TestPlansEnd, random ranges and rates with busy keys at both ends; at the fifth of 200 plans it reports that the plan has not ended.

--- a/internal/plan/keys/keys_test.go
+++ b/internal/plan/keys/keys_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -103,6 +104,44 @@
 	q.TestingRun(t)
 }
 
+// planTimeout is far above the few milliseconds of a plan, also on a busy machine.
+const planTimeout = 10 * time.Second
+
+// Guards against a plan that never ends: busy keys at the ends of the key space, where
+// there is no key before or after, and ranges and rates of any kind.
+func TestPlansEnd(t *testing.T) {
+	p := gopter.DefaultTestParametersWithSeed(1)
+	p.MinSuccessfulTests = 200
+	q := gopter.NewProperties(p)
+	q.Property("a plan for any ranges and rates ends and keeps every key", prop.ForAllNoShrink(func(n int, seed uint64) string {
+		r := rand.New(rand.NewPCG(seed, 1))
+		m := unevenMembers(n)
+		ranges := Initial(m, 1)
+		for range r.IntN(20) {
+			from := r.Uint32N(platform.MaxKey + 1)
+			ranges = ranges.Replace(&schema.KeyRange{From: from, To: min(from+r.Uint32N(1<<r.IntN(16)), platform.MaxKey), Target: m[r.IntN(n)].ID, Born: 1, Fence: 1})
+		}
+		var l Load
+		for range 1 + r.IntN(6) {
+			k := []uint32{0, 1, platform.MaxKey - 1, platform.MaxKey, r.Uint32N(platform.MaxKey + 1)}[r.IntN(5)]
+			l.Add(second, k, math.Exp2(float64(r.IntN(20))))
+		}
+		rates := l.Rates(second)
+		done := make(chan []Move, 1)
+		go func() {
+			var b Balancer
+			done <- append(b.Plan(ranges, m, rates, 1+r.IntN(16)), Reassign(ranges, m[:n-1], rates)...)
+		}()
+		select {
+		case moves := <-done:
+			return coverFault(apply(ranges, moves))
+		case <-time.After(planTimeout):
+			return "the plan has not ended"
+		}
+	}, gen.IntRange(2, 12), gen.UInt64()))
+	q.TestingRun(t)
+}
+
 // Puts 35% of the requests on 200 adjacent keys. Guards against targets that stay
 // overloaded while others are idle.
 func TestRebalanceLevelsNeighbours(t *testing.T) {
--- a/internal/plan/keys/plan.go
+++ b/internal/plan/keys/plan.go
@@ -338,28 +338,23 @@
 // the subrange with the highest rate, or nil.
 func (p *plan) heaviestSubrange(r *schema.KeyRange, want float64) *schema.KeyRange {
 	var best *schema.KeyRange
-	for from := r.From; ; {
-		to := p.prefixWithin(subrange(r, from, r.To), want)
-		if to >= from {
-			n := subrange(r, from, to)
-			if best == nil || p.rate(n) > p.rate(best) {
-				best = n
-			}
-		}
-		next := max(to, from) + 1
-		if to < from {
-			next = from + 1
+	for from := r.From; from <= r.To; {
+		count := p.prefixWithin(subrange(r, from, r.To), want)
+		if count == 0 {
+			from++
+			continue
 		}
-		if next > r.To {
-			return best
+		if n := subrange(r, from, from+count-1); best == nil || p.rate(n) > p.rate(best) {
+			best = n
 		}
-		from = next
+		from += count
 	}
+	return best
 }
 
-// prefixWithin returns the last key of the longest prefix of a range whose
-// request rate is at most want, or the key before the range if there is none.
+// prefixWithin returns the number of keys in the longest prefix of a range whose
+// request rate is at most want.
 func (p *plan) prefixWithin(r *schema.KeyRange, want float64) uint32 {
 	n := sort.Search(int(r.To-r.From+1), func(i int) bool { return p.rate(subrange(r, r.From, r.From+uint32(i))) > want })
-	return r.From + uint32(n) - 1
+	return uint32(n)
 }
