keeper: plans don't hold up renewals and questions

The plan that never ended did more harm than its own: it was made under the keeper's mutex, so that renewals, confirmations and the answers to other instances stopped with it, and through Ping, which asked the keeper under the mutex of the instance, its settings and the new owners of keys.

Change: a plan runs without the keeper's mutex, beside its steps, one at a time; its moves start only if the assignment is still the one that it was made for. Ping asks the keepers without the mutex of the instance.

Test: TestRenewalsDuringAPlan, a balancer that blocks. With the plan made under the mutex, by hand, it fails: "the plan holds up the renewals".

--- a/internal/gate/keeper/keeper.go
+++ b/internal/gate/keeper/keeper.go
@@ -104,6 +104,8 @@
 	answeredAt clock.Time
 	// grantStates records the grants of each target, by its id.
 	grantStates map[string]*grantState
+	// planning is set while moves are planned, without mu.
+	planning bool
 	// moving is set while a change of the assignment is in progress. paused
 	// holds the ranges that it moves: a range that overlaps any of them is not
 	// renewed meanwhile, even after the range was split.
@@ -139,7 +141,8 @@
 	pingingPredecessor  bool
 	rebalancedAt        clock.Time
 	load                keys.Load
-	balancer            keys.Balancer
+	// balancer is used by the plan in progress.
+	balancer balancer
 	// ratings holds the measured performance of the targets, by id.
 	ratings map[string]*rating
 	watch   watch
@@ -159,6 +162,11 @@
 	renewing bool
 }
 
+// balancer plans moves that balance the load; see keys.Balancer.
+type balancer interface {
+	Plan(r keys.Ranges, m []keys.Member, l *keys.Rates, maxMoves int) []keys.Move
+}
+
 // Options are the dependencies and settings of a keeper.
 type Options struct {
 	Service string
@@ -184,7 +192,7 @@
 	k := &Keeper{
 		service: o.Service, self: o.Self, syncer: o.Syncer, store: o.Store, granter: o.Granter, pool: o.Pool, alive: o.Alive,
 		owners: o.Owners, log: o.Log.With().Str("service", o.Service).Logger(), leaving: o.Leaving, guard: o.Guard, meter: o.Meter, hold: min(defaultHold, o.MaxHold),
-		grantStates: map[string]*grantState{}, ratings: map[string]*rating{},
+		grantStates: map[string]*grantState{}, ratings: map[string]*rating{}, balancer: &keys.Balancer{},
 	}
 	c, stop := context.WithCancel(context.Background())
 	k.cancel = stop
--- a/internal/gate/keeper/move.go
+++ b/internal/gate/keeper/move.go
@@ -36,37 +36,90 @@
 	return r
 }
 
-// move starts the moves that are due, unless a change is in progress.
+// assignment is what a plan is based on.
+type assignment struct {
+	takeover int
+	epoch    uint64
+	ranges   keys.Ranges
+	members  []keys.Member
+	rates    *keys.Rates
+}
+
+// move starts to plan the moves that are due, unless a plan or a change is in progress.
+// It doesn't wait for the plan, so that renewals don't depend on it.
 func (k *Keeper) move(c context.Context, now clock.Time, v *view.View) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.row == nil || k.moving {
+	if k.row == nil || k.moving || k.planning {
 		return
 	}
 	m := k.members(now, v)
-	var moves []keys.Move
-	why := whyOwnerLeft
-	if !keys.Owned(k.row.Ranges, m) {
-		moves = k.readyMoves(now, v, keys.Reassign(k.row.Ranges, m, k.load.Rates(now)))
+	owned, balance := keys.Owned(k.row.Ranges, m), now.Sub(k.rebalancedAt) >= rebalanceInterval && k.syncer.Age() < maxFreshAge
+	if owned && (!balance || !k.storeAnswers(c, now)) {
+		return
 	}
-	// A move that has to wait for the grants of a lost target must not delay
-	// the moves for balance.
-	if len(moves) == 0 && now.Sub(k.rebalancedAt) >= rebalanceInterval && k.syncer.Age() < maxFreshAge && k.storeAnswers(c, now) {
+	k.planning = true
+	a := assignment{k.takeovers, k.row.Epoch, k.row.Ranges, m, k.load.Rates(now)}
+	k.run(func() {
+		defer k.endPlan()
+		if !owned && k.reassign(c, now, v, a) {
+			return
+		}
+		// A move that has to wait for the grants of a lost target must not delay
+		// the moves for balance.
+		if balance {
+			k.balance(c, now, v, a)
+		}
+	})
+}
+
+func (k *Keeper) endPlan() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.planning = false
+}
+
+// reassign moves keys whose owners are not members. It reports false if none of them can
+// move now. The caller doesn't hold mu.
+func (k *Keeper) reassign(c context.Context, now clock.Time, v *view.View, a assignment) bool {
+	moves := keys.Reassign(a.ranges, a.members, a.rates)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.startChange(c, v, a, k.readyMoves(now, v, moves), whyOwnerLeft)
+}
+
+// balance moves keys to balance the load, if the store answers. The caller doesn't hold mu.
+func (k *Keeper) balance(c context.Context, now clock.Time, v *view.View, a assignment) {
+	k.mu.Lock()
+	answers := k.storeAnswers(c, now)
+	if answers {
 		k.rebalancedAt = now
-		rates := k.load.Rates(now)
-		moves, why = k.balancer.Plan(k.row.Ranges, m, rates, max(minMoveLimit, len(m)/targetsPerMove)), whyBalance
-		highest, mean := keys.Utilisation(k.row.Ranges, m, rates)
-		k.meter.Utilisation(k.service, highest, mean)
 	}
-	if len(moves) == 0 {
+	k.mu.Unlock()
+	if !answers {
 		return
 	}
+	moves := k.balancer.Plan(a.ranges, a.members, a.rates, max(minMoveLimit, len(a.members)/targetsPerMove))
+	highest, mean := keys.Utilisation(a.ranges, a.members, a.rates)
+	k.meter.Utilisation(k.service, highest, mean)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.startChange(c, v, a, moves, whyBalance)
+}
+
+// startChange starts a series of moves, unless there are none or the assignment that they
+// were planned for has changed. It reports whether it did. The caller holds mu.
+func (k *Keeper) startChange(c context.Context, v *view.View, a assignment, moves []keys.Move, why string) bool {
+	if len(moves) == 0 || k.row == nil || k.moving || k.takeovers != a.takeover || k.row.Epoch != a.epoch {
+		return false
+	}
 	k.moving = true
 	t := k.newChange()
 	for _, n := range moves {
 		k.paused = append(k.paused, n.Range)
 	}
 	k.run(func() { k.moveAll(c, v, t, moves, why) })
+	return true
 }
 
 // change is the state of the assignment at the start of a change.
--- a/internal/gate/keeper/move_test.go
+++ b/internal/gate/keeper/move_test.go
@@ -62,7 +62,7 @@
 	f.Keeper = &Keeper{
 		service: "quotes", self: self, syncer: s, store: store, granter: platform.NewGranter(), pool: pool, alive: live,
 		owners: &keys.Owners{}, log: zerolog.Nop(), meter: meter.New(zerolog.Nop()), leaving: func() bool { return false }, hold: fixtureHold,
-		grantStates: map[string]*grantState{}, ratings: map[string]*rating{},
+		grantStates: map[string]*grantState{}, ratings: map[string]*rating{}, balancer: &keys.Balancer{},
 	}
 	t.Cleanup(func() {
 		m.SetFault(0, nil)
@@ -246,3 +246,47 @@
 		t.Errorf("key of a target that may still hold it was reassigned to %s", r.Target)
 	}
 }
+
+// blockingBalancer plans until it is closed.
+type blockingBalancer chan struct{}
+
+func (b blockingBalancer) Plan(keys.Ranges, []keys.Member, *keys.Rates, int) []keys.Move {
+	<-b
+	return nil
+}
+
+// Guards against a plan that takes long and holds up everything else: the grants must be
+// renewed, and other instances answered.
+func TestRenewalsDuringAPlan(t *testing.T) {
+	f := newFixture(t)
+	b := make(blockingBalancer)
+	t.Cleanup(func() { close(b) })
+	f.balancer = b
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.await("a plan is in progress", func() bool {
+			f.step(context.Background())
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.planning
+		})
+		f.renewNow()
+		before := clock.Boot()
+		f.await("the grants are renewed", func() bool {
+			f.step(context.Background())
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			h := f.grantStates["a"]
+			return h.renewedAt >= before && !h.renewing
+		})
+	}()
+	select {
+	case <-done:
+	case <-time.After(waitTimeout):
+		t.Fatal("the plan holds up the renewals")
+	}
+	if !f.StepDown(f.row.Epoch + 1) {
+		t.Error("the keeper does not answer its successor")
+	}
+}
--- a/internal/gate/keeper/restart_test.go
+++ b/internal/gate/keeper/restart_test.go
@@ -10,19 +10,26 @@
 	"dandelionrock.example/dandelionrock/platform/fake"
 )
 
-// restartWhileLeaving makes target a start again at its address, under its id, and leave.
-// A renewal that was meant for the former run reaches the new one.
-func (f *fixture) restartWhileLeaving() {
+// restart starts a target again at its address, under its id.
+func (f *fixture) restart(id string) *fake.Target {
 	f.t.Helper()
-	before, old := f.syncer.View(), f.targets["a"]
-	old.Leave()
+	old := f.targets[id]
 	old.Kill()
-	a := &fake.Target{ID: "a", Service: old.Service, Domain: old.Domain, Keyed: true, Slots: old.Slots, ServiceTime: old.ServiceTime}
-	if err := a.Start(old.Address().String(), f.fakeStore, f.ledger); err != nil {
+	n := &fake.Target{ID: id, Service: old.Service, Domain: old.Domain, Keyed: true, Slots: old.Slots, ServiceTime: old.ServiceTime}
+	if err := n.Start(old.Address().String(), f.fakeStore, f.ledger); err != nil {
 		f.t.Fatal(err)
 	}
-	a.Leave()
-	f.targets["a"] = a
+	f.targets[id] = n
+	return n
+}
+
+// restartWhileLeaving makes target a start again at its address, under its id, and leave.
+// A renewal that was meant for the former run reaches the new one.
+func (f *fixture) restartWhileLeaving() {
+	f.t.Helper()
+	before := f.syncer.View()
+	f.targets["a"].Leave()
+	f.restart("a").Leave()
 	f.await("the restarted target has taken a renewal", func() bool {
 		f.renewNow()
 		f.renew(context.Background(), clock.Boot(), before)
@@ -67,13 +74,8 @@
 // own them again: it is the only one that can hold them.
 func TestRestartedTargetKeepsItsKeys(t *testing.T) {
 	f := newFixture(t)
-	before, old := f.syncer.View(), f.targets["a"]
-	old.Kill()
-	a := &fake.Target{ID: "a", Service: old.Service, Domain: old.Domain, Keyed: true, Slots: old.Slots, ServiceTime: old.ServiceTime}
-	if err := a.Start(old.Address().String(), f.fakeStore, f.ledger); err != nil {
-		t.Fatal(err)
-	}
-	f.targets["a"] = a
+	before := f.syncer.View()
+	f.restart("a")
 	f.await("the restart is known", func() bool { return f.syncer.View().Targets["a"].Born > before.Targets["a"].Born })
 	f.move(context.Background(), clock.Boot(), f.syncer.View())
 	f.await("the keys are granted", func() bool { return f.serves("a", 5) })
--- a/internal/gate/router/peers.go
+++ b/internal/gate/router/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"dandelionrock.example/dandelionrock/clock"
@@ -87,13 +88,15 @@
 	defer g.n.guard.Recover("ping", &err)
 	a.Incarnation, a.Leaving, a.Starting = g.n.self.Incarnation, g.n.leaving.Load(), g.n.starting()
 	a.StoreLost = g.n.syncer.Age() > storeLostAge
+	// A keeper that is busy must not hold up the other duties, which need mu.
 	g.n.mu.Lock()
-	defer g.n.mu.Unlock()
-	for _, k := range g.n.keepers {
+	keepers := maps.Clone(g.n.keepers)
+	g.n.mu.Unlock()
+	for _, k := range keepers {
 		a.StoreLost = a.StoreLost || k.StoreLost(clock.Boot())
 	}
 	if q.Service != "" {
-		k := g.n.keepers[q.Service]
+		k := keepers[q.Service]
 		a.Keeps = k != nil && !k.StepDown(q.Epoch)
 	}
 	return nil
