router, hangup: a planned stop awaits the responses behind others

Cause: pipelined requests are executed beside one another, and the HTTP server knows only of the one whose turn has come. 3.2 s after the signal it was told to stop, and closed each connection after the response in progress, while the next one was ready.

Ruled out: the header Connection: close, which is left out while responses are due behind (hangup.Followed); time, as 2.6 s of the grace period were left.

Change: hangup counts the requests that were passed to the handler and whose responses are not written; the server is told to stop when there are none. The moments of a stop are a schedule in internal/plan/stop, which leave executes. The count of every test of hangup must end at 0.

Test, failing before: TestPipelinedResponsesInPlannedStop, no answer to the second request. TestSchedule: any grace period from 0.1 to 120 s.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -54,14 +54,23 @@
 	maxHeaderBytes = 64 << 10
 )
 
+// Server is a kratos server for callers.
+type Server struct {
+	*khttp.Server
+	requests *hangup.Runner
+}
+
+// Owed returns the number of callers' requests whose responses are not written yet.
+func (s *Server) Owed() int { return s.requests.Owed() }
+
 // NewServer returns a kratos server on l. Requests whose path has two or more
 // segments go to caller directly, because the kratos router would redirect paths
 // that it considers unclean. Paths of one segment and those below /operate/ are for
 // the operator; register their handlers with Handle or HandlePrefix of the
 // server. The context of a caller's request ends when the caller closes its
 // connection.
-func NewServer(l net.Listener, caller http.Handler) *khttp.Server {
-	caller = hangup.Handler(caller)
+func NewServer(l net.Listener, handler http.Handler) *Server {
+	caller := hangup.Handler(handler)
 	filter := func(next http.Handler) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if isOperator(r.URL.Path) {
@@ -79,7 +88,7 @@
 		khttp.NotFoundHandler(caller), khttp.MethodNotAllowedHandler(caller))
 	s.ConnContext = hangup.ConnContext
 	s.ReadHeaderTimeout, s.IdleTimeout, s.MaxHeaderBytes = headerTimeout, idleTimeout, maxHeaderBytes
-	return s
+	return &Server{s, caller}
 }
 
 // isOperator reports whether a path is for the operator: it has fewer than two
--- a/internal/gate/hangup/ahead.go
+++ b/internal/gate/hangup/ahead.go
@@ -33,17 +33,24 @@
 	MaxAhead() int
 }
 
-// runner executes requests ahead of their turn.
-type runner struct {
+// Runner is the handler that Handler returns. It executes requests ahead of their turn.
+type Runner struct {
 	handler http.Handler
 	policy  Policy
-	// running counts the requests of all connections that are executed ahead and
-	// not yet delivered.
+	// running counts the requests of all connections that are executed ahead.
 	running atomic.Int64
+	// owed counts the requests of all connections that were passed to the handler
+	// and whose responses are not written yet.
+	owed atomic.Int64
 }
 
+// Owed returns the number of requests that were passed to the handler and whose
+// responses are not written yet. Package net/http knows only of those whose turn has
+// come: its Shutdown loses the responses to pipelined requests behind them.
+func (n *Runner) Owed() int { return int(n.owed.Load()) }
+
 // mayRun reports whether a request may be executed beside others.
-func (n *runner) mayRun(r *http.Request) bool {
+func (n *Runner) mayRun(r *http.Request) bool {
 	return n.policy != nil && hasNoBody(r) && r.ProtoAtLeast(1, 1) && r.Host != "" && r.Header["Expect"] == nil && n.policy.MayRunAhead(r)
 }
 
@@ -121,8 +128,7 @@
 	q := c.waiting[0]
 	if !sameRequest(q.request, r) {
 		c.untracked = true
-		c.cancelAhead()
-		c.waiting = nil
+		c.dropAhead()
 		return nil
 	}
 	c.waiting = c.waiting[1:]
@@ -158,6 +164,7 @@
 	q.cancel, q.done = stop, make(chan struct{})
 	n := c.runner
 	n.running.Add(1)
+	n.owed.Add(1)
 	go func() {
 		defer close(q.done)
 		defer n.running.Add(-1)
@@ -176,6 +183,18 @@
 	}
 }
 
+// dropAhead cancels all executions ahead, whose responses are not delivered. The caller
+// holds mu.
+func (c *conn) dropAhead() {
+	c.cancelAhead()
+	for _, q := range c.waiting {
+		if q.done != nil {
+			c.runner.owed.Add(-1)
+		}
+	}
+	c.waiting = nil
+}
+
 // deliver waits for the execution of a request and writes its response, or panics as
 // the handler did. If c ends, the execution is cancelled.
 func (q *queued) deliver(c context.Context, w http.ResponseWriter) {
--- a/internal/gate/hangup/hangup.go
+++ b/internal/gate/hangup/hangup.go
@@ -88,7 +88,7 @@
 	alone bool
 	// runner executes requests ahead, with contexts made from base. Both are those
 	// of the request that is served.
-	runner *runner
+	runner *Runner
 	base   context.Context
 }
 
@@ -146,7 +146,7 @@
 // cancelled.
 func (c *conn) Close() error {
 	c.mu.Lock()
-	c.cancelAhead()
+	c.dropAhead()
 	c.mu.Unlock()
 	return c.Conn.Close()
 }
@@ -194,12 +194,15 @@
 
 // begin starts a request, which is cancelled when the connection ends. It returns
 // the queued request, or nil if the connection is not tracked.
-func (c *conn) begin(cancel context.CancelFunc, n *runner, r *http.Request) *queued {
+func (c *conn) begin(cancel context.CancelFunc, n *Runner, r *http.Request) *queued {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.cancel = cancel
 	c.requests++
 	q := c.take(r)
+	if q == nil || q.done == nil {
+		n.owed.Add(1)
+	}
 	c.runner, c.base, c.alone = n, context.WithoutCancel(r.Context()), !n.mayRun(r)
 	if c.err != nil {
 		cancel()
@@ -216,6 +219,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.cancel = nil
+	c.runner.owed.Add(-1)
 }
 
 // Arrived returns when the last bytes of the request with context c arrived. For
@@ -261,23 +265,26 @@
 // Handler returns a handler that calls h with a context that is cancelled when
 // the client closes the connection. If h is a Policy, pipelined requests run at the
 // same time. The server must use Listener and ConnContext.
-func Handler(h http.Handler) http.Handler {
-	u := &runner{handler: h}
+func Handler(h http.Handler) *Runner {
+	u := &Runner{handler: h}
 	u.policy, _ = h.(Policy)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		n, ok := r.Context().Value(key{}).(*conn)
-		if !ok {
-			h.ServeHTTP(w, r)
-			return
-		}
-		c, stop := context.WithCancel(r.Context())
-		defer stop()
-		q := n.begin(stop, u, r)
-		defer n.end()
-		if q != nil && q.done != nil {
-			q.deliver(c, w)
-			return
-		}
-		h.ServeHTTP(w, r.WithContext(c))
-	})
+	return u
+}
+
+// ServeHTTP implements http.Handler.
+func (n *Runner) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	k, ok := r.Context().Value(key{}).(*conn)
+	if !ok {
+		n.handler.ServeHTTP(w, r)
+		return
+	}
+	c, stop := context.WithCancel(r.Context())
+	defer stop()
+	q := k.begin(stop, n, r)
+	defer k.end()
+	if q != nil && q.done != nil {
+		q.deliver(c, w)
+		return
+	}
+	n.handler.ServeHTTP(w, r.WithContext(c))
 }
--- a/internal/gate/hangup/hangup_test.go
+++ b/internal/gate/hangup/hangup_test.go
@@ -16,14 +16,26 @@
 	"github.com/leanovate/gopter/prop"
 )
 
-// serve starts a server with h and returns a connection to it.
+// owedTimeout bounds the time in which requests end whose client has left.
+const owedTimeout = 10 * time.Second
+
+// serve starts a server with h and returns a connection to it. When the test has ended
+// and the connection is closed, no response may be owed.
 func serve(t *testing.T, h http.Handler) net.Conn {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &http.Server{Handler: Handler(h), ConnContext: ConnContext, ReadHeaderTimeout: time.Second}
+	n := Handler(h)
+	t.Cleanup(func() {
+		for end := time.Now().Add(owedTimeout); n.Owed() != 0; time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%d responses are owed without a connection", n.Owed())
+			}
+		}
+	})
+	s := &http.Server{Handler: n, ConnContext: ConnContext, ReadHeaderTimeout: time.Second}
 	go func() { _ = s.Serve(Listener{l}) }()
 	t.Cleanup(func() { _ = s.Close() })
 	c, err := net.Dial("tcp", l.Addr().String())
--- a/internal/gate/router/router.go
+++ b/internal/gate/router/router.go
@@ -27,13 +27,13 @@
 	"dandelionrock.example/dandelionrock/internal/gate/warden"
 	"dandelionrock.example/dandelionrock/internal/plan/budget"
 	"dandelionrock.example/dandelionrock/internal/plan/keys"
+	"dandelionrock.example/dandelionrock/internal/plan/stop"
 	"dandelionrock.example/dandelionrock/internal/relay"
 	"dandelionrock.example/dandelionrock/internal/state/alive"
 	"dandelionrock.example/dandelionrock/internal/state/syncer"
 	"dandelionrock.example/dandelionrock/peer"
 	"dandelionrock.example/dandelionrock/platform"
 	"github.com/cockroachdb/errors"
-	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 )
@@ -43,13 +43,11 @@
 const metricsPort = 9464
 
 const (
-	// closeDelay is the time for which an instance that shuts down still
-	// accepts requests: the load balancer probes once a second and reacts to
-	// the second failure.
-	closeDelay = 3200 * time.Millisecond
-	// closeReserve is the part of the grace period that is left, after waiting
-	// for requests in progress, for closing the parts and ending the process.
-	closeReserve = 400 * time.Millisecond
+	// closeTimeout bounds the wait for the parts of the instance to close, after the
+	// schedule of the shutdown has ended.
+	closeTimeout = 200 * time.Millisecond
+	// owedInterval is the interval between checks whether responses are owed.
+	owedInterval = 20 * time.Millisecond
 	// goMemoryShare is the fraction of the memory limit that is set as the soft
 	// limit of the Go runtime.
 	goMemoryShare = 0.6
@@ -94,12 +92,14 @@
 	herald      *herald.Herald
 	warden      *warden.Warden
 	entry       *entry.Entry
-	client      *khttp.Server
+	client      *edge.Server
 	ready       *http.Server
 	meter       *meter.Meter
 	metrics     *http.Server
 	leaving     atomic.Bool
-	guard       *guard.Guard
+	// schedule is that of the shutdown; nil before.
+	schedule atomic.Pointer[stop.Schedule]
+	guard    *guard.Guard
 	// failed is closed when a duty can't go on.
 	failed chan struct{}
 	// inForce holds the settings that the instance runs with.
@@ -296,18 +296,19 @@
 	return !n.leaving.Load() && n.syncer.View().Desired != nil && n.warden.Learned()
 }
 
-// leave announces the shutdown, accepts requests until the load balancer and
-// the other instances have noticed, and waits for those in progress.
+// leave shuts the instance down by a stop.Schedule: it announces the shutdown, and waits
+// until no response is owed or the schedule ends.
 func (n *Instance) leave() {
 	n.log.Info().Str("event", "leaving").Msg("")
-	begin := time.Now()
+	s := stop.New(clock.Boot(), n.inForce.Load().Grace)
+	n.schedule.Store(s)
 	n.leaving.Store(true)
 	n.deregister()
-	time.Sleep(closeDelay - time.Since(begin))
-	c, stop := context.WithDeadline(context.Background(), begin.Add(n.inForce.Load().Grace-closeReserve))
-	defer stop()
+	c, cancel := context.WithTimeout(context.Background(), s.End.Sub(clock.Boot()))
+	defer cancel()
+	n.awaitOwed(c, s)
 	if err := n.client.Stop(c); err != nil {
-		n.log.Warn().Str("event", "requests-cut").Err(err).Msg("")
+		n.log.Warn().Str("event", "requests-cut").Int("owed", n.client.Owed()).Err(err).Msg("")
 	}
 	// The server tells other instances to send no more calls, and closes once
 	// the replies to those in progress are written.
@@ -322,8 +323,17 @@
 	}
 }
 
-// close closes the other parts. It waits at most half of closeReserve, so that
-// a call that hangs doesn't delay the end of the process.
+// awaitOwed waits until s.OpenUntil, and until no response to a client is owed or c ends.
+// The HTTP server is not told to stop before: it would close each connection after the
+// response in progress, and lose those that are ready behind it.
+func (n *Instance) awaitOwed(c context.Context, s *stop.Schedule) {
+	for c.Err() == nil && (clock.Boot() < s.OpenUntil || n.client.Owed() > 0) {
+		clock.Sleep(c, owedInterval)
+	}
+}
+
+// close closes the other parts. It waits for at most closeTimeout, so that a call that
+// hangs doesn't delay the end of the process.
 func (n *Instance) close() error {
 	n.cancel()
 	done := make(chan error, 1)
@@ -331,7 +341,7 @@
 	var err error
 	select {
 	case err = <-done:
-	case <-time.After(closeReserve / 2):
+	case <-time.After(closeTimeout):
 	}
 	n.log.Info().Str("event", "stopped").Int("homes-busy", n.homes.Busy()).Err(err).Msg("")
 	return nil
--- /dev/null
+++ b/internal/gate/router/stop_test.go
@@ -0,0 +1,99 @@
+package router
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"dandelionrock.example/dandelionrock/platform"
+	"dandelionrock.example/dandelionrock/platform/fake"
+)
+
+const (
+	// slowTime is the service time of terms in the tests of planned stops. It exceeds the
+	// time for which an instance that stops takes requests.
+	slowTime = 3600 * time.Millisecond
+)
+
+// newStopSystem starts two instances with a slow service behind /slow/.
+func newStopSystem(t *testing.T, targets int) *system {
+	t.Helper()
+	t.Parallel()
+	s := newSystem(t, 2)
+	s.store.Put(platform.TableDesired, platform.KeyDesired, fake.Configuration(1,
+		`,{"name":"r-slow","host":"example","prefix":"/slow/","type":"idempotent","timeout":"9000ms","slo":"9000ms","priority":1,"service":"terms","attempts":2}`))
+	for i := range targets {
+		s.addTarget(&fake.Target{ID: fmt.Sprint("t", i), Service: "terms", Domain: "a1", Slots: 1, ServiceTime: slowTime})
+	}
+	s.addTarget(&fake.Target{ID: "o0", Service: "orders", Domain: "a1", Slots: 2, ServiceTime: time.Millisecond, NonIdempotent: true})
+	s.addQuoteTargets(1)
+	s.startServing(2, "quotes", "orders")
+	return s
+}
+
+// pipeline is a connection of a client.
+type pipeline struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func (s *system) dial(i int) *pipeline {
+	s.t.Helper()
+	c, err := net.Dial("tcp", s.ips[i]+":18001")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = c.Close() })
+	return &pipeline{c, bufio.NewReader(c)}
+}
+
+// send sends a request with an attempt id.
+func (p *pipeline) send(t *testing.T, method, path, attempt string) {
+	t.Helper()
+	h := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: example\r\n%s: %s\r\n%s: 9000\r\n%s: 1\r\nContent-Length: 0\r\n\r\n",
+		method, path, platform.HeaderAttempt, attempt, platform.HeaderDeadline, platform.HeaderKey)
+	if _, err := strings.NewReader(h).WriteTo(p); err != nil {
+		t.Error(err)
+	}
+}
+
+// receive returns the status of the next response, or 0 if there is none.
+func (p *pipeline) receive(t *testing.T, attempt string) int {
+	t.Helper()
+	a, err := http.ReadResponse(p.r, nil)
+	if err != nil {
+		t.Errorf("no answer to %s: %v", attempt, err)
+		return 0
+	}
+	if _, err := io.Copy(io.Discard, a.Body); err != nil {
+		t.Errorf("answer to %s: %v", attempt, err)
+	}
+	if got := a.Header.Get(platform.HeaderAttempt); got != attempt {
+		t.Errorf("answer to %s in place of %s", got, attempt)
+	}
+	return a.StatusCode
+}
+
+// Guards against answers that are thrown away in a planned stop: that to a pipelined
+// request is ready while the one before it is still awaited.
+func TestPipelinedResponsesInPlannedStop(t *testing.T) {
+	s := newStopSystem(t, 3)
+	p := s.dial(0)
+	p.send(t, http.MethodGet, "/slow/x", "first")
+	p.send(t, http.MethodGet, "/quotes/x", "second")
+	time.Sleep(300 * time.Millisecond)
+	if s.ledger.Runs("second") != 1 {
+		t.Fatal("the second request was not executed beside the first")
+	}
+	s.stops[0]()
+	for _, attempt := range []string{"first", "second"} {
+		if n := p.receive(t, attempt); n != http.StatusOK {
+			t.Errorf("status %d for %s", n, attempt)
+		}
+	}
+}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -123,7 +123,7 @@
 }
 
 // httpServer returns the HTTP server for callers, operators and health checks.
-func (n *Node) httpServer(l net.Listener) *khttp.Server {
+func (n *Node) httpServer(l net.Listener) *edge.Server {
 	s := edge.NewServer(l, n.requireDirectory(n.newEdge()))
 	s.HandlePrefix("/operate/", admin.New(admin.Handler{
 		Operators: n.s.Operators, Submitter: n, Reporter: n, Timeline: n.events,
--- /dev/null
+++ b/internal/plan/stop/stop_test.go
@@ -0,0 +1,29 @@
+package stop
+
+import (
+	"testing"
+	"time"
+
+	"dandelionrock.example/dandelionrock/clock"
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+// Guards against a stop that doesn't fit into its grace period, whatever its length: the
+// process is killed before the answers are out, or has no time for requests that it has
+// passed on.
+func TestSchedule(t *testing.T) {
+	p := gopter.DefaultTestParametersWithSeed(1)
+	q := gopter.NewProperties(p)
+	q.Property("the moments are in order and within the bounds", prop.ForAll(func(ms int64) bool {
+		const begin = clock.Time(time.Hour)
+		grace := time.Duration(ms) * time.Millisecond
+		s := New(begin, grace)
+		at := func(d time.Duration) clock.Time { return begin.Add(d) }
+		return s.Begin < s.PassUntil && s.PassUntil <= s.OpenUntil && s.OpenUntil < s.AnswerBy && s.AnswerBy < s.End &&
+			s.PassUntil <= at(3*time.Second) && s.PassUntil <= at(grace/2) && s.End < at(grace) && s.AnswerBy >= at(grace*5/6) &&
+			s.Passing(s.PassUntil-1) && !s.Passing(s.PassUntil) && !s.MayPass(begin, s.AnswerBy.Sub(begin)+1)
+	}, gen.Int64Range(100, 120_000)))
+	q.TestingRun(t)
+}
