entry: requests that may outlast a planned stop are refused as not run

Callers lost orders that came late in a planned stop: an instance that leaves took requests for 3.2 s after the signal, passed them on with their full deadline, and cut them at the end of the grace period.

Cause: whether a request could be answered before the end was never asked.

Change: during a stop a request is passed on until 2.8 s after the signal, if its answer is expected in time: by the mean time of its route, or by the longest recent one if it can't be repeated; else it is refused at once as not run, with Retry-After. Those that are passed on have a deadline within the grace period, so that a target whose own queue is too long says that it hasn't run them.

Ruled out: cutting the excuse instead, that is ending later: the kill is fixed.

Test, failing before: TestLateRequestsInPlannedStop, a late order: status 200, executed 1 times.

--- a/internal/gate/entry/call.go
+++ b/internal/gate/entry/call.go
@@ -17,6 +17,7 @@
 	e := q.entry
 	m := &q.message
 	now := clock.Boot()
+	q.sentAt = now
 	m.Call = e.calls.Add(1)
 	m.FailureDomain, m.Target = k.FailureDomain, k.Target
 	m.Exclude = q.exclude
--- a/internal/gate/entry/entry.go
+++ b/internal/gate/entry/entry.go
@@ -24,6 +24,7 @@
 	"dandelionrock.example/dandelionrock/internal/plan/keys"
 	"dandelionrock.example/dandelionrock/internal/plan/place"
 	"dandelionrock.example/dandelionrock/internal/plan/slack"
+	"dandelionrock.example/dandelionrock/internal/plan/stop"
 	"dandelionrock.example/dandelionrock/internal/relay"
 	"dandelionrock.example/dandelionrock/internal/state/alive"
 	"dandelionrock.example/dandelionrock/internal/state/view"
@@ -72,6 +73,8 @@
 	Meter  *meter.Meter
 	// Leaving reports whether the instance is shutting down.
 	Leaving func() bool
+	// Stop returns the schedule by which the instance is shutting down, or nil.
+	Stop func() *stop.Schedule
 	// Age and ConfigurationAge return the ages of the local copies of the targets' table
 	// and of the configuration.
 	Age, ConfigurationAge func() time.Duration
@@ -104,13 +107,15 @@
 	missingSince map[string]clock.Time
 	// deadlines holds the deadlines that clients usually state, by route.
 	deadlines map[string]*slack.Route
+	// times holds how long answers take, by route.
+	times map[string]*stop.Times
 }
 
 // New returns an Entry.
 func New(o Options) *Entry {
 	e := &Entry{
 		Options: o, started: clock.Boot(), budgets: map[string]*budget.Budget{}, splitCounts: map[string]uint64{}, counts: map[string]*counts{},
-		deadlines: map[string]*slack.Route{}, missingSince: map[string]clock.Time{},
+		deadlines: map[string]*slack.Route{}, times: map[string]*stop.Times{}, missingSince: map[string]clock.Time{},
 	}
 	e.SetRegions(nil)
 	return e
--- a/internal/gate/entry/entry_test.go
+++ b/internal/gate/entry/entry_test.go
@@ -14,6 +14,7 @@
 	"dandelionrock.example/dandelionrock/internal/gate/sender"
 	"dandelionrock.example/dandelionrock/internal/gate/warden"
 	"dandelionrock.example/dandelionrock/internal/plan/keys"
+	"dandelionrock.example/dandelionrock/internal/plan/stop"
 	"dandelionrock.example/dandelionrock/internal/state/alive"
 	"dandelionrock.example/dandelionrock/internal/state/view"
 	"dandelionrock.example/dandelionrock/peer"
@@ -44,7 +45,7 @@
 	d := warden.New(warden.Options{Self: self, Views: fixedView{v}, Alive: a, Log: zerolog.Nop(), Meter: m})
 	e := New(Options{
 		Self: self, Views: fixedView{v}, Homes: group.New(fixedView{v}, sender.New(), d, nil, zerolog.Nop(), m), Alive: a, Warden: d,
-		Owners: &keys.Owners{}, Log: zerolog.Nop(), Meter: m, Leaving: func() bool { return false }, Age: func() time.Duration { return 0 }, ConfigurationAge: func() time.Duration { return 0 },
+		Owners: &keys.Owners{}, Log: zerolog.Nop(), Meter: m, Leaving: func() bool { return false }, Stop: func() *stop.Schedule { return nil }, Age: func() time.Duration { return 0 }, ConfigurationAge: func() time.Duration { return 0 },
 	})
 	e.SetConfigApply(fake.ConfigApply)
 	return e
--- a/internal/gate/entry/request.go
+++ b/internal/gate/entry/request.go
@@ -56,6 +56,8 @@
 	config uint64
 	// target and home are those of the last try.
 	target, home string
+	// sentAt is when the last try began.
+	sentAt clock.Time
 	// begin is when the request arrived, and queued how long it then waited for
 	// earlier requests on its connection.
 	begin  clock.Time
@@ -91,12 +93,15 @@
 	}
 	q.entry.Warden.Await(c)
 	for {
+		if !q.mayPass() {
+			return
+		}
 		if left, ok := q.entry.Warden.Banned(q.message.Identity); ok {
 			q.fail(http.StatusServiceUnavailable, warden.Reason, left)
 			return
 		}
 		k, at, ok := q.chooseGroup(c)
-		if !ok {
+		if !ok || !q.mayPass() {
 			return
 		}
 		a, err := q.send(c, k, at)
@@ -275,6 +280,7 @@
 		q.sent++
 		q.ran = true
 		q.reply = a
+		q.recordTime(clock.Boot(), clock.Boot().Sub(q.sentAt))
 		return a.Status >= http.StatusInternalServerError && q.route.Idempotent && !q.service.Keyed && q.mayRetry(a)
 	case schema.SendOutcome_SEND_OUTCOME_REFUSED:
 		return q.handleRefusal(a, k)
--- a/internal/gate/router/router.go
+++ b/internal/gate/router/router.go
@@ -160,7 +160,7 @@
 	n.homes = group.New(n.syncer, n.connections, n.warden, n.targetLeaves, l, n.meter)
 	n.entry = entry.New(entry.Options{
 		Self: n.self, Views: n.syncer, Homes: n.homes, Pool: n.pool, Alive: n.alive, Owners: n.owners, Warden: n.warden,
-		Log: l, Meter: n.meter, Leaving: n.leaving.Load, Age: n.syncer.Age, ConfigurationAge: n.syncer.ConfigurationAge,
+		Log: l, Meter: n.meter, Leaving: n.leaving.Load, Stop: n.schedule.Load, Age: n.syncer.Age, ConfigurationAge: n.syncer.ConfigurationAge,
 	})
 	return n
 }
--- a/internal/gate/router/stop_test.go
+++ b/internal/gate/router/stop_test.go
@@ -18,6 +18,9 @@
 	// slowTime is the service time of terms in the tests of planned stops. It exceeds the
 	// time for which an instance that stops takes requests.
 	slowTime = 3600 * time.Millisecond
+	// lastExcused is the time after the signal until which requests that are sent may be
+	// cut at the end of the grace period.
+	lastExcused = 3 * time.Second
 )
 
 // newStopSystem starts two instances with a slow service behind /slow/.
@@ -97,3 +100,19 @@
 		}
 	}
 }
+
+// Guards against orders that are passed on late in a planned stop, and cut at its end.
+func TestLateRequestsInPlannedStop(t *testing.T) {
+	s := newStopSystem(t, 1)
+	p := s.dial(0)
+	p.send(t, http.MethodPost, "/orders/x", "early")
+	if n := p.receive(t, "early"); n != http.StatusOK {
+		t.Fatalf("status %d before the stop", n)
+	}
+	s.stops[0]()
+	time.Sleep(lastExcused + 50*time.Millisecond)
+	p.send(t, http.MethodPost, "/orders/x", "late")
+	if n := p.receive(t, "late"); n != http.StatusServiceUnavailable || s.ledger.Runs("late") != 0 {
+		t.Errorf("a late order: status %d, executed %d times", n, s.ledger.Runs("late"))
+	}
+}
--- a/internal/plan/stop/stop_test.go
+++ b/internal/plan/stop/stop_test.go
@@ -27,3 +27,23 @@
 	}, gen.Int64Range(100, 120_000)))
 	q.TestingRun(t)
 }
+
+// Guards against requests that are passed on although those before them took longer than
+// what is left.
+func TestTimes(t *testing.T) {
+	var x Times
+	now := clock.Time(time.Hour)
+	for range 20 {
+		x.Add(now, 100*time.Millisecond)
+	}
+	x.Add(now, 4*time.Second)
+	if d := x.Longest(now); d != 4*time.Second {
+		t.Errorf("longest = %v", d)
+	}
+	if d := x.Mean(); d < 100*time.Millisecond || d > time.Second {
+		t.Errorf("mean = %v", d)
+	}
+	if d := x.Longest(now.Add(10 * longestHalfLife)); d > time.Second {
+		t.Errorf("longest after ten half-lives = %v", d)
+	}
+}
