group, entry: requests that wait are refused in a planned stop

Cause: nothing refused what waits before the end of a stop, at the home that stops or at the homes that the instance had sent its clients' requests to.

A request that is being executed goes on.

Test, failing before: TestQueuedRequestsInPlannedStop: executed 8.2 s after the signal, grace period 6 s.

--- a/internal/gate/entry/call.go
+++ b/internal/gate/entry/call.go
@@ -30,7 +30,9 @@
 	m.Limits = e.limits.reportedByOthers(now, k, i.ID)
 	e.loads.Begin(k.Service, k.FailureDomain)
 	a := &schema.SendReply{}
+	e.beginCall(m.Call, i)
 	err := e.call(c, i, m, a)
+	e.endCall(m.Call)
 	if err == nil && group.Unavailable(a.Reason) && e.Alive.Suspect(i) {
 		e.Log.Info().Str("event", "instance-unavailable").Str("peer", i.ID).Str("reason", a.Reason).Str("request", m.AttemptId).Msg("")
 	}
@@ -98,17 +100,35 @@
 	return e.Homes.Send(m, a)
 }
 
-// withdrawTimeout bounds a call of Gate.Withdraw.
+// beginCall and endCall record a call of a home, for Unqueue.
+func (e *Entry) beginCall(call uint64, i peer.Instance) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.calling[call] = i
+}
+
+func (e *Entry) endCall(call uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.calling, call)
+}
+
+// withdrawTimeout bounds a call of Gate.Withdraw or Gate.Unqueue.
 const withdrawTimeout = time.Second
 
 // withdraw tells a home in the background that the client of a call has
 // disconnected.
 func (e *Entry) withdraw(i peer.Instance, call uint64) {
+	e.tell(i, "Gate.Withdraw", &schema.WithdrawRequest{Entry: e.Self.ID, Call: call})
+}
+
+// tell makes a call about a request to its home, in the background.
+func (e *Entry) tell(i peer.Instance, method string, q *schema.WithdrawRequest) {
 	e.wg.Go(func() {
 		c, stop := context.WithTimeout(context.Background(), withdrawTimeout)
 		defer stop()
-		if err := e.Pool.Call(c, i.RPCAddress, "Gate.Withdraw", &schema.WithdrawRequest{Entry: e.Self.ID, Call: call}, &schema.Empty{}); err != nil {
-			e.Log.Debug().Str("event", "withdraw-failed").Str("instance", i.ID).Err(err).Msg("")
+		if err := e.Pool.Call(c, i.RPCAddress, method, q, &schema.Empty{}); err != nil {
+			e.Log.Debug().Str("event", "withdraw-failed").Str("instance", i.ID).Str("method", method).Err(err).Msg("")
 		}
 	})
 }
--- a/internal/gate/entry/entry.go
+++ b/internal/gate/entry/entry.go
@@ -107,6 +107,8 @@
 	missingSince map[string]clock.Time
 	// deadlines holds the deadlines that clients usually state, by route.
 	deadlines map[string]*slack.Route
+	// calling holds the home of each call in progress, by its number.
+	calling map[uint64]peer.Instance
 	// times holds how long answers take, by route.
 	times map[string]*stop.Times
 }
@@ -115,7 +117,7 @@
 func New(o Options) *Entry {
 	e := &Entry{
 		Options: o, started: clock.Boot(), budgets: map[string]*budget.Budget{}, splitCounts: map[string]uint64{}, counts: map[string]*counts{},
-		deadlines: map[string]*slack.Route{}, times: map[string]*stop.Times{}, missingSince: map[string]clock.Time{},
+		deadlines: map[string]*slack.Route{}, times: map[string]*stop.Times{}, calling: map[uint64]peer.Instance{}, missingSince: map[string]clock.Time{},
 	}
 	e.SetRegions(nil)
 	return e
--- a/internal/gate/entry/request.go
+++ b/internal/gate/entry/request.go
@@ -342,6 +342,10 @@
 	if group.Unavailable(a.Reason) {
 		return q.unsent < maxUnsent
 	}
+	if a.Reason == group.ReasonUnqueued {
+		q.fail(http.StatusServiceUnavailable, reasonLeaving, retryAfterLeaving)
+		return false
+	}
 	if a.Reason == warden.Reason {
 		q.entry.Warden.Import([]*schema.Ban{a.Ban})
 		return false
--- a/internal/gate/entry/stop.go
+++ b/internal/gate/entry/stop.go
@@ -1,11 +1,13 @@
 package entry
 
 import (
+	"maps"
 	"net/http"
 	"time"
 
 	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/internal/plan/stop"
+	"dandelionrock.example/dandelionrock/schema"
 )
 
 const (
@@ -65,3 +67,20 @@
 	}
 	t.Add(now, d)
 }
+
+// Unqueue asks the homes to refuse the requests of this instance that wait there, because
+// it is shutting down: they have not run, and others can still run them. A request that
+// has just been sent may be missed, so that Unqueue is called several times.
+func (e *Entry) Unqueue() {
+	e.mu.Lock()
+	calls := maps.Clone(e.calling)
+	e.mu.Unlock()
+	for call, i := range calls {
+		q := &schema.WithdrawRequest{Entry: e.Self.ID, Call: call}
+		if i.ID == e.Self.ID {
+			_ = e.Homes.Unqueue(q, nil)
+			continue
+		}
+		e.tell(i, "Gate.Unqueue", q)
+	}
+}
--- a/internal/gate/group/group.go
+++ b/internal/gate/group/group.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,6 +31,8 @@
 	// ReasonStarting states that the home has just started and may not know all
 	// targets yet.
 	ReasonStarting = "home-starting"
+	// ReasonUnqueued states that the entry has taken the request out of the queue.
+	ReasonUnqueued = "unqueued"
 )
 
 // Unavailable reports whether a reason for a refusal is one for which another
@@ -58,10 +61,17 @@
 	mu     sync.Mutex
 	next   pool.ID
 	groups map[ID]*home
-	calls  map[call]context.CancelFunc
+	calls  map[call]sending
 	wg     sync.WaitGroup
 }
 
+// sending is a request that an entry has sent.
+type sending struct {
+	stop context.CancelFunc
+	home *home
+	id   pool.ID
+}
+
 // call identifies a request by the instance that is its entry and the number
 // that the entry gave it.
 type call struct {
@@ -87,7 +97,7 @@
 // New returns Homes without groups. They call leaves when a run of a target says in a
 // response that it leaves.
 func New(v Views, l *sender.Pool, w *warden.Warden, leaves func(target string, born int64), g zerolog.Logger, m *meter.Meter) *Homes {
-	return &Homes{views: v, connections: l, warden: w, leaves: leaves, log: g, meter: m, groups: map[ID]*home{}, calls: map[call]context.CancelFunc{}}
+	return &Homes{views: v, connections: l, warden: w, leaves: leaves, log: g, meter: m, groups: map[ID]*home{}, calls: map[call]sending{}}
 }
 
 // Close waits for the requests in progress. The error is always nil.
@@ -108,10 +118,11 @@
 	c, stop := context.WithTimeout(context.Background(), time.Duration(q.LeftMs)*time.Millisecond)
 	defer stop()
 	n := call{q.Entry, q.Call}
+	g := h.home(ID{q.Service, q.FailureDomain, q.Target})
 	h.mu.Lock()
 	h.next++
 	id := h.next
-	h.calls[n] = stop
+	h.calls[n] = sending{stop, g, id}
 	h.wg.Add(1)
 	h.mu.Unlock()
 	defer func() {
@@ -120,7 +131,6 @@
 		h.mu.Unlock()
 		h.wg.Done()
 	}()
-	g := h.home(ID{q.Service, q.FailureDomain, q.Target})
 	h.run(c, g, id, q, a)
 	g.addLoad(a)
 	return nil
@@ -130,12 +140,38 @@
 func (h *Homes) Withdraw(q *schema.WithdrawRequest, _ *schema.Empty) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if stop := h.calls[call{q.Entry, q.Call}]; stop != nil {
-		stop()
+	if s, ok := h.calls[call{q.Entry, q.Call}]; ok {
+		s.stop()
 	}
 	return nil
 }
 
+// Unqueue refuses a request if it waits. One that is being executed goes on.
+func (h *Homes) Unqueue(q *schema.WithdrawRequest, _ *schema.Empty) error {
+	h.mu.Lock()
+	s, ok := h.calls[call{q.Entry, q.Call}]
+	h.mu.Unlock()
+	if ok {
+		s.home.refuse(s.id, ReasonUnqueued)
+	}
+	return nil
+}
+
+// RefuseWaiting refuses all requests that wait, because this instance is shutting down.
+func (h *Homes) RefuseWaiting() {
+	h.mu.Lock()
+	gs := slices.Collect(maps.Values(h.groups))
+	h.mu.Unlock()
+	for _, g := range gs {
+		g.mu.Lock()
+		ids := slices.Collect(maps.Keys(g.waiting))
+		g.mu.Unlock()
+		for _, id := range ids {
+			g.refuse(id, ReasonLeaving)
+		}
+	}
+}
+
 func (h *Homes) home(k ID) *home {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -264,6 +300,17 @@
 	return pool.Decision{ID: id, Verdict: pool.Refuse, Reason: pool.ReasonExpired}
 }
 
+// refuse refuses a request if it waits.
+func (g *home) refuse(id pool.ID, reason string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if w := g.waiting[id]; w != nil {
+		g.pool.Cancel(id)
+		delete(g.waiting, id)
+		w <- pool.Decision{ID: id, Verdict: pool.Refuse, Reason: reason}
+	}
+}
+
 // addLoad adds the load of the group to a reply.
 func (g *home) addLoad(a *schema.SendReply) {
 	g.mu.Lock()
--- a/internal/gate/router/peers.go
+++ b/internal/gate/router/peers.go
@@ -70,6 +70,12 @@
 	return g.n.homes.Withdraw(q, a)
 }
 
+// Unqueue refuses a request that waits here.
+func (g *gate) Unqueue(q *schema.WithdrawRequest, a *schema.Empty) (err error) {
+	defer g.n.guard.Recover("unqueue", &err)
+	return g.n.homes.Unqueue(q, a)
+}
+
 // Keys receives changes of the owners of keys.
 func (g *gate) Keys(q *schema.KeysRequest, _ *schema.Empty) (err error) {
 	defer g.n.guard.Recover("keys", &err)
--- a/internal/gate/router/router.go
+++ b/internal/gate/router/router.go
@@ -48,6 +48,9 @@
 	closeTimeout = 200 * time.Millisecond
 	// owedInterval is the interval between checks whether responses are owed.
 	owedInterval = 20 * time.Millisecond
+	// unqueueInterval is the interval between two attempts to have requests refused
+	// that wait at other instances.
+	unqueueInterval = 200 * time.Millisecond
 	// goMemoryShare is the fraction of the memory limit that is set as the soft
 	// limit of the Go runtime.
 	goMemoryShare = 0.6
@@ -325,9 +328,16 @@
 
 // awaitOwed waits until s.OpenUntil, and until no response to a client is owed or c ends.
 // The HTTP server is not told to stop before: it would close each connection after the
-// response in progress, and lose those that are ready behind it.
+// response in progress, and lose those that are ready behind it. When no request may be
+// passed on any more, those that wait in queues are refused.
 func (n *Instance) awaitOwed(c context.Context, s *stop.Schedule) {
+	unqueued := s.PassUntil
 	for c.Err() == nil && (clock.Boot() < s.OpenUntil || n.client.Owed() > 0) {
+		if now := clock.Boot(); now >= unqueued {
+			n.homes.RefuseWaiting()
+			n.entry.Unqueue()
+			unqueued = now.Add(unqueueInterval)
+		}
 		clock.Sleep(c, owedInterval)
 	}
 }
--- a/internal/gate/router/stop_test.go
+++ b/internal/gate/router/stop_test.go
@@ -21,6 +21,8 @@
 	// lastExcused is the time after the signal until which requests that are sent may be
 	// cut at the end of the grace period.
 	lastExcused = 3 * time.Second
+	// stopGrace is the grace period in fake.Settings.
+	stopGrace = 6 * time.Second
 )
 
 // newStopSystem starts two instances with a slow service behind /slow/.
@@ -116,3 +118,25 @@
 		t.Errorf("a late order: status %d, executed %d times", n, s.ledger.Runs("late"))
 	}
 }
+
+// Guards against requests that wait in a queue when their instance stops, and are cut with
+// neither an answer nor a refusal.
+func TestQueuedRequestsInPlannedStop(t *testing.T) {
+	s := newStopSystem(t, 1)
+	running, queued := s.dial(0), s.dial(0)
+	s.stops[0]()
+	begin := time.Now()
+	time.Sleep(time.Second)
+	running.send(t, http.MethodGet, "/slow/x", "running")
+	time.Sleep(100 * time.Millisecond)
+	queued.send(t, http.MethodGet, "/slow/x", "queued")
+	if n := queued.receive(t, "queued"); n != http.StatusServiceUnavailable || s.ledger.Runs("queued") != 0 {
+		t.Errorf("a queued request: status %d, executed %d times", n, s.ledger.Runs("queued"))
+	}
+	if d := time.Since(begin); d > stopGrace/2+200*time.Millisecond {
+		t.Errorf("a queued request was refused after %v; others could have run it", d)
+	}
+	if n := running.receive(t, "running"); n != http.StatusOK {
+		t.Errorf("status %d for the running request", n)
+	}
+}
