relay: connections that have gone silent are found together

Cause: only its deadline ended a call on a silent connection, and that one had failed said nothing about the others. An instance that pulls copies asked one after the other, 0.9 s each. Traced by the log of the instance that took the request: five sound sources in a row missed the deadline.

Ruled out: the store, the readers, and suspicion that lasts.

Change: after a stalled call whose peer answers on a new connection, the pool tests all connections on which nothing was received since, at the same time, and closes those that are silent while their peers answer on new ones. A slow or frozen peer answers neither, and keeps its connections. Failed pulls are followed by the next one at once.

--- a/internal/fault/proxy/proxy.go
+++ b/internal/fault/proxy/proxy.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -36,7 +37,8 @@
 
 	mu    sync.Mutex
 	fault Fault
-	conns map[net.Conn]struct{}
+	// conns holds the ends of the open connections, and whether they are silent for good.
+	conns map[net.Conn]*atomic.Bool
 	wg    sync.WaitGroup
 }
 
@@ -47,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: l, destination: destination, conns: map[net.Conn]struct{}{}}
+	p := &Proxy{listener: l, destination: destination, conns: map[net.Conn]*atomic.Bool{}}
 	p.wg.Go(p.accept)
 	return p, nil
 }
@@ -67,6 +69,16 @@
 	}
 }
 
+// Sever makes the open connections silent for good: neither bytes nor their ends are
+// forwarded. New connections work.
+func (p *Proxy) Sever() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.conns {
+		s.Store(true)
+	}
+}
+
 // Close stops listening, closes all connections and waits for the goroutines of
 // the proxy. It returns the error of closing the listener.
 func (p *Proxy) Close() error {
@@ -103,10 +115,11 @@
 			continue
 		}
 		p.mu.Lock()
-		p.conns[c], p.conns[u] = struct{}{}, struct{}{}
+		severed := new(atomic.Bool)
+		p.conns[c], p.conns[u] = severed, severed
 		p.mu.Unlock()
-		p.wg.Go(func() { p.forward(u, c, false) })
-		p.wg.Go(func() { p.forward(c, u, true) })
+		p.wg.Go(func() { p.forward(u, c, severed, false) })
+		p.wg.Go(func() { p.forward(c, u, severed, true) })
 	}
 }
 
@@ -118,11 +131,17 @@
 
 // forward copies bytes from one connection to another, and holds them back while
 // a fault blocks this direction.
-func (p *Proxy) forward(to, from net.Conn, toClient bool) {
-	defer p.remove(to, from)
+func (p *Proxy) forward(to, from net.Conn, severed *atomic.Bool, toClient bool) {
+	defer p.remove(to, from, severed)
 	b := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(b)
+		if severed.Load() && err == nil {
+			continue
+		}
+		if severed.Load() {
+			return
+		}
 		if !p.awaitForward(toClient) {
 			return
 		}
@@ -167,11 +186,14 @@
 	return false
 }
 
-// remove ends the forwarding from one connection to another.
-func (p *Proxy) remove(to, from net.Conn) {
+// remove ends the forwarding from one connection to another. The other end of a severed
+// connection stays open.
+func (p *Proxy) remove(to, from net.Conn, severed *atomic.Bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.conns, to)
+	if !severed.Load() {
+		delete(p.conns, to)
+	}
 	delete(p.conns, from)
 	_ = from.Close()
 }
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -5,8 +5,8 @@
 	"net/rpc"
 	"strings"
 	"sync/atomic"
-	"time"
 
+	"dandelionrock.example/dandelionrock/clock"
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 )
@@ -37,7 +37,7 @@
 	onLeave func()
 	// onReadError is called when reading from the connection has failed.
 	onReadError func()
-	// lastFrame is when the last frame was received, in Unix nanoseconds.
+	// lastFrame is when the last frame was received, as a clock.Time.
 	lastFrame atomic.Int64
 }
 
@@ -63,7 +63,7 @@
 			c.onReadError()
 			return err
 		}
-		c.lastFrame.Store(time.Now().UnixNano())
+		c.lastFrame.Store(int64(clock.Boot()))
 		if h := &c.in.head; h.Method != methodLeave {
 			r.Seq, r.Error, r.ServiceMethod = h.Sequence, h.Error, h.Method
 			return nil
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"dandelionrock.example/dandelionrock/clock"
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 )
@@ -36,10 +37,14 @@
 	// the last active call.
 	retired   atomic.Bool
 	closeOnce sync.Once
+	// onStall is called when a call misses its deadline and nothing was received since
+	// it began.
+	onStall func(begin clock.Time)
 }
 
 func newLink(c net.Conn, o Options) *link {
-	l := &link{codec: newClientCodec(c, o), ready: make(chan struct{})}
+	l := &link{codec: newClientCodec(c, o), ready: make(chan struct{}), onStall: func(clock.Time) {}}
+	l.codec.lastFrame.Store(int64(clock.Boot()))
 	l.codec.onLeave, l.codec.onReadError = l.retire, l.close
 	l.client = rpc.NewClientWithCodec(l.codec)
 	close(l.ready)
@@ -94,7 +99,7 @@
 	k := callPool.Get().(*call)
 	k.request, k.reply, k.end = request, reply, 0
 	k.state.Store(stateWaiting)
-	begin := time.Now()
+	begin := clock.Boot()
 	l.client.Go(method, k, k, k.done)
 	select {
 	case r := <-k.done:
@@ -134,12 +139,16 @@
 // abandon counts a call whose caller stops waiting. It retires the link if the
 // call missed its deadline after at least stallTimeout and no frame was received
 // since it began, or if maxAbandoned calls were abandoned.
-func (l *link) abandon(c context.Context, begin time.Time) {
+func (l *link) abandon(c context.Context, begin clock.Time) {
 	n := l.abandoned.Add(1)
-	timedOut := errors.Is(c.Err(), context.DeadlineExceeded) && time.Since(begin) >= stallTimeout
-	if n >= maxAbandoned || timedOut && l.codec.lastFrame.Load() < begin.UnixNano() {
+	timedOut := errors.Is(c.Err(), context.DeadlineExceeded) && clock.Boot().Sub(begin) >= stallTimeout
+	stalled := timedOut && l.silentSince(begin)
+	if n >= maxAbandoned || stalled {
 		l.retire()
 	}
+	if stalled {
+		l.onStall(begin)
+	}
 }
 
 // slot holds one connection to an address and dials a new one when the
@@ -222,5 +231,7 @@
 		return
 	}
 	s.failures, s.dialError, s.retryAt = 0, nil, time.Time{}
-	s.current.Store(newLink(n, p.options))
+	l := newLink(n, p.options)
+	l.onStall = func(begin clock.Time) { p.stalled(l, s, address, begin) }
+	s.current.Store(l)
 }
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -20,6 +20,7 @@
 	mu     sync.RWMutex
 	closed bool
 	peers  map[string]*peer
+	tester tester
 	// group counts the calls and dials in progress. None is added after closed
 	// is set.
 	group sync.WaitGroup
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -23,10 +23,14 @@
 
 // NewServer returns a server without registered methods.
 func NewServer(o Options) *Server {
-	return &Server{
+	s := &Server{
 		rpc: rpc.NewServer(), options: o.withDefaults(),
 		listeners: map[net.Listener]struct{}{}, conns: map[net.Conn]*serverCodec{},
 	}
+	if err := s.rpc.RegisterName(serviceProbe, prober{}); err != nil {
+		panic(err) // the methods of prober don't follow the rules of net/rpc
+	}
+	return s
 }
 
 // Register publishes the methods of r under its type name, by the rules of
--- a/internal/state/syncer/pull.go
+++ b/internal/state/syncer/pull.go
@@ -12,11 +12,14 @@
 	"dandelionrock.example/dandelionrock/schema"
 )
 
-// pullLoop periodically reads the copies of other instances.
+// pullLoop periodically reads the copies of other instances. After a failed read, which
+// has taken longer than the interval, it asks the next one at once.
 func (s *Syncer) pullLoop(c context.Context) {
 	for c.Err() == nil {
-		if i, ok := s.pickSource(); ok {
-			s.pullFrom(c, i, false)
+		begin := clock.Boot()
+		if i, ok := s.pickSource(); ok && s.pullFrom(c, i, false) == mirror.NeverRead {
+			clock.Sleep(c, s.scaled(pullInterval)-clock.Boot().Sub(begin))
+			continue
 		}
 		clock.Sleep(c, s.scaled(pullInterval))
 	}
