--- a/internal/fault/soak/faults_test.go
+++ b/internal/fault/soak/faults_test.go
@@ -133,7 +133,7 @@
 }
 
 // actionCount is the number of kinds of actions, which are faults and changes.
-const actionCount = 19
+const actionCount = 21
 
 // performAction performs one random action. A fault that lasts overlaps with the
 // next actions, unless the run is serial.
@@ -184,6 +184,10 @@
 		s.tellLeaving(v)
 	case 18:
 		s.denyStore()
+	case 19:
+		s.severPeers()
+	case 20:
+		s.restartLeaving(v)
 	}
 }
 
@@ -284,6 +288,37 @@
 	})
 }
 
+// severPeers silences all open connections between instances for good.
+func (s *soakRun) severPeers() {
+	s.logAction("the connections between instances go silent")
+	s.ledger.SuspendDrainCheck(stableWindow)
+	for _, i := range s.instances {
+		i.peerProxy.Sever()
+	}
+}
+
+// restartLeaving drains a target, which crashes and starts again under its id, still to
+// leave.
+func (s *soakRun) restartLeaving(v *target) {
+	if !s.markRetired(v, "leaves, crashes and starts again") {
+		return
+	}
+	v.Leave()
+	time.Sleep(100 * time.Millisecond)
+	v.Kill()
+	time.Sleep(time.Duration(s.random.IntN(1500)) * time.Millisecond)
+	n, err := v.Restart()
+	if err != nil {
+		s.addViolation("target %s can't be started again: %v", v.ID, err)
+		return
+	}
+	n.Leave()
+	time.AfterFunc(4*time.Second, func() {
+		n.Kill()
+		s.store.Remove(platform.TableTargets, n.ID)
+	})
+}
+
 // denyStore makes the store unreachable for a random half of the instances.
 func (s *soakRun) denyStore() {
 	f := []proxy.Fault{proxy.Reset, proxy.Silence}[s.random.IntN(2)]
--- a/internal/gate/keeper/move_test.go
+++ b/internal/gate/keeper/move_test.go
@@ -29,7 +29,6 @@
 	*Keeper
 	t         *testing.T
 	fakeStore *fake.Store
-	ledger    *fake.Ledger
 	targets   map[string]*fake.Target
 }
 
@@ -47,7 +46,7 @@
 		t.Fatal(err)
 	}
 	ledger := fake.NewLedger()
-	f := &fixture{t: t, fakeStore: m, ledger: ledger, targets: map[string]*fake.Target{}}
+	f := &fixture{t: t, fakeStore: m, targets: map[string]*fake.Target{}}
 	for _, id := range []string{"a", "b"} {
 		v := &fake.Target{ID: id, Service: "quotes", Domain: "a1", Keyed: true, Slots: 2, ServiceTime: time.Millisecond}
 		if err := v.Start("127.0.0.1:0", m, ledger); err != nil {
--- a/internal/gate/keeper/restart_test.go
+++ b/internal/gate/keeper/restart_test.go
@@ -13,10 +13,8 @@
 // restart starts a target again at its address, under its id.
 func (f *fixture) restart(id string) *fake.Target {
 	f.t.Helper()
-	old := f.targets[id]
-	old.Kill()
-	n := &fake.Target{ID: id, Service: old.Service, Domain: old.Domain, Keyed: true, Slots: old.Slots, ServiceTime: old.ServiceTime}
-	if err := n.Start(old.Address().String(), f.fakeStore, f.ledger); err != nil {
+	n, err := f.targets[id].Restart()
+	if err != nil {
 		f.t.Fatal(err)
 	}
 	f.targets[id] = n
