relay: late replies count, and tests in vain become rarer

Read once more: a stalled connection was closed before its peer was asked on a new one, so that the late reply of a slow peer could not show that it is sound, and each such stall had all other connections of the instance tested, once a second. Under overload, when many peers are slow, that adds calls.

Change: the connection stays open until the peer has answered on a new one; a test of all connections that finds none silent doubles the time to the next one, up to 4 s.

TestSilentConnections and TestChangeWhileConnectionsAreSilent hold as before, also with the race detector (the first).

--- a/internal/relay/silent.go
+++ b/internal/relay/silent.go
@@ -24,8 +24,11 @@
 	probeTimeout = 300 * time.Millisecond
 	// newProbeTimeout bounds the dial and the answer on a new connection.
 	newProbeTimeout = 600 * time.Millisecond
-	// testInterval is the shortest time between two tests of all connections.
-	testInterval = time.Second
+	// minTestInterval and maxTestInterval bound the time between two tests. It doubles
+	// with each test of all connections that finds none silent: peers that are
+	// overloaded stall as well, and probes would add to their load.
+	minTestInterval = time.Second
+	maxTestInterval = 4 * time.Second
 )
 
 // methodProbe is a method without effect, of the service serviceProbe. A peer that
@@ -45,35 +48,46 @@
 type tester struct {
 	// busy is set while connections are tested.
 	busy atomic.Bool
-	// testedAt is when the last test began, as a clock.Time; 0 if there was none.
-	testedAt atomic.Int64
+	// nextAt is when the next test may begin, as a clock.Time.
+	nextAt atomic.Int64
+	// interval is that before the next test; use it while busy is set.
+	interval time.Duration
 }
 
 // begin reports whether a test may begin now. If so, it must end with end.
 func (t *tester) begin(now clock.Time) bool {
-	if last := clock.Time(t.testedAt.Load()); last != 0 && now.Sub(last) < testInterval || !t.busy.CompareAndSwap(false, true) {
-		return false
-	}
-	t.testedAt.Store(int64(now))
-	return true
+	return now >= clock.Time(t.nextAt.Load()) && t.busy.CompareAndSwap(false, true)
 }
 
-func (t *tester) end() { t.busy.Store(false) }
+// end ends a test that began at the given time. inVain tells whether all connections were
+// tested and none was silent.
+func (t *tester) end(began clock.Time, inVain bool) {
+	if inVain {
+		t.interval = min(max(2*t.interval, minTestInterval), maxTestInterval)
+	} else {
+		t.interval = minTestInterval
+	}
+	t.nextAt.Store(int64(began.Add(t.interval)))
+	t.busy.Store(false)
+}
 
 // stalled is called when nothing was received on a link since the call that began at the
-// given time, which missed its deadline.
+// given time, which missed its deadline and has not released the link.
 func (p *Pool) stalled(l *link, s *slot, address string, begin clock.Time) {
-	if !p.tester.begin(clock.Boot()) {
+	now := clock.Boot()
+	if !p.tester.begin(now) {
 		return
 	}
+	// The link stays open, so that a late reply shows that it is not silent.
+	l.active.Add(1)
 	started := p.spawn(func() {
-		defer p.tester.end()
-		if p.replaceSilent(l, s, address, begin) {
-			p.testSince(begin)
-		}
+		defer l.release()
+		inVain := p.replaceSilent(l, s, address, begin) && !p.testSince(begin)
+		p.tester.end(now, inVain)
 	})
 	if !started {
-		p.tester.end()
+		l.release()
+		p.tester.end(now, false)
 	}
 }
 
@@ -90,39 +104,49 @@
 	return true
 }
 
-// testSince tests all links on which nothing was received since the given time, and waits
-// for the results.
-func (p *Pool) testSince(since clock.Time) {
+// testSince tests all links on which nothing was received since the given time. It reports
+// whether any of them was silent.
+func (p *Pool) testSince(since clock.Time) bool {
 	var g sync.WaitGroup
+	var found atomic.Bool
 	p.mu.RLock()
 	for a, r := range p.peers {
 		for i := range r.slots {
 			s := &r.slots[i]
 			if l := s.current.Load(); l != nil && l.silentSince(since) {
-				g.Go(func() { p.test(l, s, a) })
+				g.Go(func() {
+					if p.test(l, s, a) {
+						found.Store(true)
+					}
+				})
 			}
 		}
 	}
 	p.mu.RUnlock()
 	g.Wait()
+	return found.Load()
 }
 
-// test closes a link on which the peer doesn't answer, if it does on a new one.
-func (p *Pool) test(l *link, s *slot, address string) {
+// test closes a link on which the peer doesn't answer, if it does on a new one. It reports
+// whether it did.
+func (p *Pool) test(l *link, s *slot, address string) bool {
 	if !l.acquire() {
-		return
+		return false
 	}
+	defer l.release()
+	l.active.Add(1) // released by probe
 	begin := clock.Boot()
 	c, stop := context.WithTimeout(p.context, probeTimeout)
 	defer stop()
 	if l.probe(c) || !l.silentSince(begin) {
-		return
+		return false
 	}
 	l.retire()
-	p.replaceSilent(l, s, address, begin)
+	return p.replaceSilent(l, s, address, begin)
 }
 
-// probe calls methodProbe on an acquired link, and reports whether the peer answered.
+// probe calls methodProbe on an acquired link, which it releases, and reports whether the
+// peer answered.
 func (l *link) probe(c context.Context) bool {
 	err := l.do(c, methodProbe, &schema.Empty{}, &schema.Empty{})
 	var f rpc.ServerError
