--- a/internal/gate/group/group.go
+++ b/internal/gate/group/group.go
@@ -146,7 +146,8 @@
 	return nil
 }
 
-// Unqueue refuses a request if it waits. One that is being executed goes on.
+// Unqueue refuses a request if it waits. One that is being executed goes on. The error is
+// always nil.
 func (h *Homes) Unqueue(q *schema.WithdrawRequest, _ *schema.Empty) error {
 	h.mu.Lock()
 	s, ok := h.calls[call{q.Entry, q.Call}]
