relay: a connection that carries a large frame is not taken for silent

Read once more: a probe waits behind a large frame, and a large reply counted only when it had arrived whole. On a slow link a sound connection could so be closed, with the requests on it.

Change: bytes that are received count, not whole frames; connections on which a large frame may still be on its way, at 10 Mbit/s, are not tested.

TestLargeFramesAreAwaited; the tests of silent connections hold as before.

--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"io"
 	"net"
 	"net/rpc"
 	"strings"
@@ -37,12 +38,29 @@
 	onLeave func()
 	// onReadError is called when reading from the connection has failed.
 	onReadError func()
-	// lastFrame is when the last frame was received, as a clock.Time.
-	lastFrame atomic.Int64
+	// lastRead is when bytes were last received, as a clock.Time.
+	lastRead atomic.Int64
 }
 
 func newClientCodec(c net.Conn, o Options) *clientCodec {
-	return &clientCodec{out: newStream(c, o.MaxFrame, o.WriteTimeout), in: newReader(c, o.MaxFrame), onLeave: func() {}, onReadError: func() {}}
+	k := &clientCodec{out: newStream(c, o.MaxFrame, o.WriteTimeout), onLeave: func() {}, onReadError: func() {}}
+	k.in = newReader(timedReader{c, &k.lastRead}, o.MaxFrame)
+	k.lastRead.Store(int64(clock.Boot()))
+	return k
+}
+
+// timedReader records when bytes were last read, as a clock.Time.
+type timedReader struct {
+	io.Reader
+	at *atomic.Int64
+}
+
+func (t timedReader) Read(b []byte) (int, error) {
+	n, err := t.Reader.Read(b)
+	if n > 0 {
+		t.at.Store(int64(clock.Boot()))
+	}
+	return n, err
 }
 
 // WriteRequest queues a request. It never blocks, because net/rpc calls it with
@@ -63,7 +81,6 @@
 			c.onReadError()
 			return err
 		}
-		c.lastFrame.Store(int64(clock.Boot()))
 		if h := &c.in.head; h.Method != methodLeave {
 			r.Seq, r.Error, r.ServiceMethod = h.Sequence, h.Error, h.Method
 			return nil
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -44,7 +44,6 @@
 
 func newLink(c net.Conn, o Options) *link {
 	l := &link{codec: newClientCodec(c, o), ready: make(chan struct{}), onStall: func(clock.Time) {}}
-	l.codec.lastFrame.Store(int64(clock.Boot()))
 	l.codec.onLeave, l.codec.onReadError = l.retire, l.close
 	l.client = rpc.NewClientWithCodec(l.codec)
 	close(l.ready)
@@ -137,7 +136,7 @@
 }
 
 // abandon counts a call whose caller stops waiting. It retires the link if the
-// call missed its deadline after at least stallTimeout and no frame was received
+// call missed its deadline after at least stallTimeout and nothing was received
 // since it began, or if maxAbandoned calls were abandoned.
 func (l *link) abandon(c context.Context, begin clock.Time) {
 	n := l.abandoned.Add(1)
--- a/internal/relay/silent.go
+++ b/internal/relay/silent.go
@@ -29,6 +29,10 @@
 	// overloaded stall as well, and probes would add to their load.
 	minTestInterval = time.Second
 	maxTestInterval = 4 * time.Second
+	// largeFrame is the size in bytes from which a frame may delay those after it, and
+	// minBandwidth that in bytes a second with which large frames are sent at least.
+	largeFrame   = 64 << 10
+	minBandwidth = 10e6 / 8
 )
 
 // methodProbe is a method without effect, of the service serviceProbe. A peer that
@@ -75,7 +79,7 @@
 // given time, which missed its deadline and has not released the link.
 func (p *Pool) stalled(l *link, s *slot, address string, begin clock.Time) {
 	now := clock.Boot()
-	if !p.tester.begin(now) {
+	if l.codec.out.isSending(now) || !p.tester.begin(now) {
 		return
 	}
 	// The link stays open, so that a late reply shows that it is not silent.
@@ -104,8 +108,8 @@
 	return true
 }
 
-// testSince tests all links on which nothing was received since the given time. It reports
-// whether any of them was silent.
+// testSince tests all links on which nothing was received since the given time, except
+// those that may be sending a large frame. It reports whether any of them was silent.
 func (p *Pool) testSince(since clock.Time) bool {
 	var g sync.WaitGroup
 	var found atomic.Bool
@@ -130,7 +134,7 @@
 // test closes a link on which the peer doesn't answer, if it does on a new one. It reports
 // whether it did.
 func (p *Pool) test(l *link, s *slot, address string) bool {
-	if !l.acquire() {
+	if l.codec.out.isSending(clock.Boot()) || !l.acquire() {
 		return false
 	}
 	defer l.release()
@@ -154,4 +158,4 @@
 }
 
 // silentSince reports whether nothing was received on the link since the given time.
-func (l *link) silentSince(t clock.Time) bool { return clock.Time(l.codec.lastFrame.Load()) < t }
+func (l *link) silentSince(t clock.Time) bool { return clock.Time(l.codec.lastRead.Load()) < t }
--- a/internal/relay/silent_test.go
+++ b/internal/relay/silent_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/internal/fault/proxy"
 	"dandelionrock.example/dandelionrock/schema"
 )
@@ -64,3 +65,24 @@
 		t.Errorf("a call on a silent connection failed after %v", d)
 	}
 }
+
+// Guards against a connection that is taken for silent because a large frame holds up the
+// probe behind it.
+func TestLargeFramesAreAwaited(t *testing.T) {
+	_, s, a := serve(t, Options{})
+	defer s.Close()
+	p := NewPool(Options{})
+	defer p.Close()
+	for _, c := range []struct {
+		size    int
+		sending bool
+	}{{100, false}, {1 << 20, true}} {
+		if err := p.Call(t.Context(), a, "Echo.Do", request("1", c.size), new(schema.ForwardReply)); err != nil {
+			t.Fatal(err)
+		}
+		now, o := clock.Boot(), p.peers[a].slots[0].current.Load().codec.out
+		if o.isSending(now) != c.sending || o.isSending(now.Add(time.Second)) {
+			t.Errorf("after a frame of %d bytes: sending %v now, %v a second later", c.size, o.isSending(now), o.isSending(now.Add(time.Second)))
+		}
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/schema"
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
@@ -53,6 +54,8 @@
 	// changes once done is closed.
 	written int64
 	closed  bool
+	// sendingUntil is when the large frames are sent at the latest.
+	sendingUntil clock.Time
 	// header is reused by encode.
 	header schema.RpcHeader
 	// done is closed when run returns.
@@ -88,11 +91,22 @@
 	if len(s.pending) == 0 {
 		s.notEmpty.Signal()
 	}
-	s.queued += int64(len(b) - len(s.pending))
+	size := len(b) - len(s.pending)
+	s.queued += int64(size)
 	s.pending = b
+	if size >= largeFrame {
+		s.sendingUntil = max(s.sendingUntil, clock.Boot()).Add(time.Duration(float64(size) / minBandwidth * float64(time.Second)))
+	}
 	return s.queued, nil
 }
 
+// isSending reports whether a large frame may still be on its way.
+func (s *stream) isSending(now clock.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now < s.sendingUntil
+}
+
 // encode returns pending with a frame appended. On an error pending is unchanged.
 func (s *stream) encode(r header, m proto.Message) ([]byte, error) {
 	n := len(s.pending)
