--- a/internal/plan/stop/stop.go
+++ b/internal/plan/stop/stop.go
@@ -55,6 +55,3 @@
 func (s *Schedule) MayPass(now clock.Time, takes time.Duration) bool {
 	return s == nil || now < s.PassUntil && now.Add(takes) <= s.AnswerBy
 }
-
-// Passing reports whether requests may still be passed on.
-func (s *Schedule) Passing(now clock.Time) bool { return s.MayPass(now, 0) }
