--- a/internal/plan/stop/times.go
+++ b/internal/plan/stop/times.go
@@ -32,9 +32,6 @@
 	t.mean += time.Duration(meanWeight * float64(d-t.mean))
 }
 
-// Known reports whether any time was added.
-func (t *Times) Known() bool { return t.at != 0 }
-
 // Mean returns the moving average.
 func (t *Times) Mean() time.Duration { return t.mean }
 
