realm, health, view, pool, entry, keeper: home regions, evacuated domains, rate of cold targets

The product had no notion of home-regions of a route, op/evacuate/ZONE, warmup-per-s and Warmup-Ms. Each choice of a target and of the instance that holds a body now takes a realm.Permitted, which only a check against the request's regions yields. Targets of an evacuated domain are closed like leaving ones, their keys move with their handover. The home of a cold target spends its rate as a token bucket; services that state a rate and a health path are checked twice a second by the homes of their targets, since the row in the store says so up to two seconds later. Keys of a service with bound routes go to targets in the regions that all of them permit.

Waiting requests of a group that lost all its targets are refused with no-target, so that those for keys go to the next owner.

--- a/internal/gate/entry/call.go
+++ b/internal/gate/entry/call.go
@@ -8,6 +8,7 @@
 	"dandelionrock.example/dandelionrock/internal/gate/depot"
 	"dandelionrock.example/dandelionrock/internal/gate/group"
 	"dandelionrock.example/dandelionrock/internal/plan/pool"
+	"dandelionrock.example/dandelionrock/internal/plan/realm"
 	"dandelionrock.example/dandelionrock/internal/relay"
 	"dandelionrock.example/dandelionrock/peer"
 	"dandelionrock.example/dandelionrock/schema"
@@ -15,8 +16,8 @@
 )
 
 // send sends the request to the home of a group and returns its reply.
-func (q *request) send(c context.Context, k group.ID, at peer.Place) (*schema.SendReply, error) {
-	e := q.entry
+func (q *request) send(c context.Context, to realm.Permitted[destination]) (*schema.SendReply, error) {
+	e, k := q.entry, to.Value().id
 	m := &q.message
 	now := clock.Boot()
 	q.sentAt = now
@@ -27,7 +28,8 @@
 	if q.service.Keyed {
 		m.Exclude = nil
 	}
-	i := e.home(k, at)
+	h := e.home(q.realm, to)
+	i := h.Value()
 	q.home = i.ID
 	m.Limits = e.limits.reportedByOthers(now, k, i.ID)
 	e.loads.Begin(k.Service, k.FailureDomain)
@@ -35,7 +37,7 @@
 	if !q.ran {
 		e.beginCall(m.Call, i)
 	}
-	err := e.call(c, i, q.account, m, a)
+	err := e.call(c, h, q.account, m, a)
 	e.endCall(m.Call)
 	if err == nil && group.Unavailable(a.Reason) && e.Alive.Suspect(i) {
 		e.Log.Info().Str("event", "instance-unavailable").Str("peer", i.ID).Str("reason", a.Reason).Str("request", m.AttemptId).Msg("")
@@ -59,20 +61,35 @@
 }
 
 // home returns the home of a group: the first instance in the order of
-// alive.Set.Nearest, without this one while it is leaving. If there is none, it
-// returns this instance.
-func (e *Entry) home(k group.ID, at peer.Place) peer.Instance {
-	for _, i := range e.Alive.Nearest(e.Views.View(), k.Name(), at) {
-		if i.ID != e.Self.ID || !e.Leaving() {
-			return i
+// alive.Set.Nearest that may hold the body of a request with the given realm, without
+// this one while it is leaving. If there is none, it returns this instance.
+func (e *Entry) home(r realm.Realm, to realm.Permitted[destination]) realm.Permitted[peer.Instance] {
+	d := to.Value()
+	for _, i := range e.Alive.Nearest(e.Views.View(), d.id.Name(), d.at) {
+		if i.ID == e.Self.ID {
+			if e.Leaving() {
+				continue
+			}
+			return realm.Reached(i)
+		}
+		if p, ok := realm.Admit(r, i, i.Region); ok {
+			return p
 		}
 	}
-	return e.Self
+	return realm.Reached(e.Self)
+}
+
+// IsHome reports whether this instance is the home of a group of targets in a failure
+// domain.
+func (e *Entry) IsHome(k group.ID, domain string) bool {
+	is := e.Alive.Nearest(e.Views.View(), k.Name(), e.place(domain))
+	return len(is) > 0 && is[0].ID == e.Self.ID && !e.Leaving()
 }
 
 // call calls a home. If the client disconnects, it withdraws the request from the
 // home.
-func (e *Entry) call(c context.Context, i peer.Instance, t depot.Account, m *schema.SendRequest, a *schema.SendReply) error {
+func (e *Entry) call(c context.Context, h realm.Permitted[peer.Instance], t depot.Account, m *schema.SendRequest, a *schema.SendReply) error {
+	i := h.Value()
 	if i.ID == e.Self.ID {
 		return e.callSelf(c, m, a)
 	}
@@ -86,7 +103,7 @@
 		}
 	})
 	defer unhook()
-	err := e.callHome(d, i, t, m, a)
+	err := e.callHome(d, h, t, m, a)
 	if err != nil && c.Err() == nil && !errors.Is(err, relay.ErrTooLarge) && e.Alive.Suspect(i) {
 		e.Log.Warn().Str("event", "instance-suspected").Str("instance", i.ID).Str("call", "send").Str("request", m.AttemptId).Err(err).Msg("")
 	}
--- a/internal/gate/entry/entry.go
+++ b/internal/gate/entry/entry.go
@@ -23,6 +23,7 @@
 	"dandelionrock.example/dandelionrock/internal/plan/hazard"
 	"dandelionrock.example/dandelionrock/internal/plan/keys"
 	"dandelionrock.example/dandelionrock/internal/plan/place"
+	"dandelionrock.example/dandelionrock/internal/plan/realm"
 	"dandelionrock.example/dandelionrock/internal/plan/slack"
 	"dandelionrock.example/dandelionrock/internal/plan/stop"
 	"dandelionrock.example/dandelionrock/internal/relay"
@@ -130,8 +131,8 @@
 // SetRegions sets the regions of the failure domains.
 func (e *Entry) SetRegions(r map[string]string) { e.regions.Store(&r) }
 
-// region returns the region of a failure domain, or "" if it is not known.
-func (e *Entry) region(domain string) string { return (*e.regions.Load())[domain] }
+// Region returns the region of a failure domain, or "" if it is not known.
+func (e *Entry) Region(domain string) string { return (*e.regions.Load())[domain] }
 
 // SetBound sets the bound of the retry budgets.
 func (e *Entry) SetBound(b budget.Bound) {
@@ -282,6 +283,7 @@
 	}
 	q.end = begin.Add(min(deadline, t.Timeout))
 	q.service = v.Desired.Services[e.pickService(t)]
+	q.realm = realm.Of(t.Homes)
 	if q.service.Keyed {
 		n, err := strconv.ParseUint(r.Header.Get(platform.HeaderKey), 10, 16)
 		if err != nil {
--- a/internal/gate/entry/pieces.go
+++ b/internal/gate/entry/pieces.go
@@ -9,6 +9,7 @@
 
 	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/internal/gate/depot"
+	"dandelionrock.example/dandelionrock/internal/plan/realm"
 	"dandelionrock.example/dandelionrock/internal/relay"
 	"dandelionrock.example/dandelionrock/peer"
 	"dandelionrock.example/dandelionrock/schema"
@@ -56,13 +57,14 @@
 }
 
 // callHome calls Gate.Send of another instance. A large body is sent ahead in pieces.
-func (e *Entry) callHome(c context.Context, i peer.Instance, t depot.Account, m *schema.SendRequest, a *schema.SendReply) error {
+func (e *Entry) callHome(c context.Context, h realm.Permitted[peer.Instance], t depot.Account, m *schema.SendRequest, a *schema.SendReply) error {
+	i := h.Value()
 	if len(m.Body) <= maxWhole {
 		return e.Pool.Call(c, i.RPCAddress, "Gate.Send", m, a)
 	}
 	begin := clock.Boot()
 	var unknown rpc.ServerError
-	switch err := e.sendPieces(c, i, t, m); {
+	switch err := e.sendPieces(c, h, t, m); {
 	case errors.As(err, &unknown):
 		// An instance of an earlier version takes a body only within its request.
 		return e.Pool.Call(c, i.RPCAddress, "Gate.Send", m, a)
@@ -82,7 +84,7 @@
 
 // sendPieces sends the body of a request to its home. It fails with depot.ErrFull if the
 // home has no memory for it.
-func (e *Entry) sendPieces(c context.Context, i peer.Instance, t depot.Account, m *schema.SendRequest) error {
+func (e *Entry) sendPieces(c context.Context, h realm.Permitted[peer.Instance], t depot.Account, m *schema.SendRequest) error {
 	var next atomic.Int64
 	var failed atomic.Pointer[error]
 	var g sync.WaitGroup
@@ -93,7 +95,7 @@
 				if from >= int64(len(m.Body)) {
 					return
 				}
-				if err := e.sendPiece(c, i, t, m, from); err != nil {
+				if err := e.sendPiece(c, h, t, m, from); err != nil {
 					failed.CompareAndSwap(nil, &err)
 				}
 			}
@@ -107,7 +109,8 @@
 }
 
 // sendPiece sends the piece of a body that begins at from.
-func (e *Entry) sendPiece(c context.Context, i peer.Instance, t depot.Account, m *schema.SendRequest, from int64) error {
+func (e *Entry) sendPiece(c context.Context, h realm.Permitted[peer.Instance], t depot.Account, m *schema.SendRequest, from int64) error {
+	i := h.Value()
 	leave, err := e.lanes.enter(c, i.ID)
 	if err != nil {
 		return err
--- a/internal/gate/entry/pieces_test.go
+++ b/internal/gate/entry/pieces_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"dandelionrock.example/dandelionrock/internal/plan/realm"
 	"dandelionrock.example/dandelionrock/internal/relay"
 	"dandelionrock.example/dandelionrock/peer"
 	"dandelionrock.example/dandelionrock/schema"
@@ -66,7 +67,7 @@
 		for range bodies {
 			g.Go(func() {
 				m := &schema.SendRequest{Call: e.calls.Add(1), LeftMs: 5000, Body: bytes.Repeat([]byte("x"), length)}
-				if err := e.callHome(t.Context(), peer.Instance{ID: name, RPCAddress: l.Addr().String()}, 1, m, &schema.SendReply{}); err != nil || len(m.Body) != length {
+				if err := e.callHome(t.Context(), realm.Reached(peer.Instance{ID: name, RPCAddress: l.Addr().String()}), 1, m, &schema.SendReply{}); err != nil || len(m.Body) != length {
 					t.Errorf("%s home: %v, a body of %d bytes is left", name, err, len(m.Body))
 				}
 			})
--- a/internal/gate/entry/request.go
+++ b/internal/gate/entry/request.go
@@ -3,18 +3,15 @@
 import (
 	"context"
 	"net/http"
-	"slices"
-	"strconv"
 	"time"
 
 	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/internal/gate/depot"
 	"dandelionrock.example/dandelionrock/internal/gate/group"
 	"dandelionrock.example/dandelionrock/internal/gate/warden"
-	"dandelionrock.example/dandelionrock/internal/plan/place"
 	"dandelionrock.example/dandelionrock/internal/plan/pool"
+	"dandelionrock.example/dandelionrock/internal/plan/realm"
 	"dandelionrock.example/dandelionrock/internal/relay"
-	"dandelionrock.example/dandelionrock/peer"
 	"dandelionrock.example/dandelionrock/platform"
 	"dandelionrock.example/dandelionrock/schema"
 	"github.com/cockroachdb/errors"
@@ -50,6 +47,8 @@
 	entry   *Entry
 	route   *platform.Route
 	service platform.Service
+	// realm holds the regions in which the request may run.
+	realm   realm.Realm
 	key     uint32
 	attempt string
 	// config is the version of the configuration that the route is from.
@@ -102,16 +101,16 @@
 			q.fail(http.StatusServiceUnavailable, warden.Reason, left)
 			return
 		}
-		k, at, ok := q.chooseGroup(c)
+		k, ok := q.chooseGroup(c)
 		if !ok || !q.mayPass() {
 			return
 		}
-		a, err := q.send(c, k, at)
+		a, err := q.send(c, k)
 		if c.Err() != nil {
 			q.expire(a, err)
 			return
 		}
-		if !q.handleResult(a, err, k) {
+		if !q.handleResult(a, err, k.Value().id) {
 			return
 		}
 	}
@@ -155,126 +154,6 @@
 	q.status, q.reason, q.retryAfter = status, reason, retryAfter
 }
 
-// chooseGroup returns the group for the next try and the place of its targets. If
-// there is none, it fails the request.
-func (q *request) chooseGroup(c context.Context) (group.ID, peer.Place, bool) {
-	if q.service.Keyed {
-		return q.ownerGroup(c)
-	}
-	e := q.entry
-	v := e.Views.View()
-	slots := map[string]int{}
-	for _, t := range v.Services[q.service.Name] {
-		if !t.Leaving && !slices.Contains(q.full, t.FailureDomain) && !slices.Contains(q.exclude, t.ID) {
-			slots[t.FailureDomain] += t.Slots
-		}
-	}
-	var cs []place.Candidate
-	for d, n := range slots {
-		cs = append(cs, place.Candidate{Service: q.service.Name, Domain: d, Distance: e.distance(d), Slots: n})
-	}
-	b, ok := e.loads.Choose(clock.Boot(), cs)
-	if !ok {
-		q.giveUp("no-target")
-		return group.ID{}, peer.Place{}, false
-	}
-	return group.ID{Service: q.service.Name, FailureDomain: b.Domain}, e.place(b.Domain), true
-}
-
-// giveUp ends a request for which no target is left to try. A reply or reason of
-// an earlier try takes precedence.
-func (q *request) giveUp(reason string) {
-	if q.reply != nil {
-		return
-	}
-	if q.reason != "" {
-		reason = q.reason
-	}
-	q.fail(http.StatusServiceUnavailable, reason, max(q.retryAfter, retryAfterNoTarget))
-}
-
-// distance returns the distance from this instance to a failure domain.
-func (e *Entry) distance(domain string) place.Distance {
-	switch {
-	case domain == e.Self.FailureDomain:
-		return place.Same
-	case e.region(domain) == e.Self.Region:
-		return place.Region
-	}
-	return place.Far
-}
-
-// place returns the place of a failure domain.
-func (e *Entry) place(domain string) peer.Place {
-	return peer.Place{Region: e.region(domain), FailureDomain: domain}
-}
-
-// ownerGroup returns the group of the target that owns the request's key. If there
-// is none, it waits for one for up to keyWait.
-func (q *request) ownerGroup(c context.Context) (group.ID, peer.Place, bool) {
-	e := q.entry
-	limit := time.NewTimer(keyWait)
-	defer limit.Stop()
-	for {
-		n, changed := e.Owners.Find(clock.Boot(), q.service.Name, q.key)
-		if n != nil {
-			q.target = n.Target
-		}
-		if n != nil && !slices.Contains(q.exclude, q.ownerID(n)) {
-			if t := e.Views.View().Targets[n.Target]; t != nil && t.Born == n.Born && !t.Leaving {
-				e.clearMissing(n)
-				return group.ID{Service: q.service.Name, Target: t.ID}, e.place(t.FailureDomain), true
-			}
-			if e.ownerLost(n) {
-				q.retryAfter = retryAfterOwnerLost
-				q.giveUp("owner-lost")
-				return group.ID{}, peer.Place{}, false
-			}
-		}
-		select {
-		case <-changed:
-		case <-limit.C:
-			q.giveUp("no-owner")
-			return group.ID{}, peer.Place{}, false
-		case <-c.Done():
-			q.failDeadline()
-			return group.ID{}, peer.Place{}, false
-		}
-	}
-}
-
-// ownerLost reports whether the owner of a range has been missing for more than
-// ownerLostAfter, since the first call for it.
-func (e *Entry) ownerLost(n *schema.KeyRange) bool {
-	now, k := clock.Boot(), runID(n)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	since, ok := e.missingSince[k]
-	if !ok {
-		e.missingSince[k] = now
-		return false
-	}
-	return now.Sub(since) > ownerLostAfter
-}
-
-// clearMissing records that the owner of a range is in the view.
-func (e *Entry) clearMissing(n *schema.KeyRange) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if len(e.missingSince) > 0 {
-		delete(e.missingSince, runID(n))
-	}
-}
-
-// runID identifies the run of the target that owns a range.
-func runID(n *schema.KeyRange) string { return n.Target + "/" + strconv.FormatInt(n.Born, 10) }
-
-// ownerID identifies the owner of a range under one fence: a target that rejected
-// a request for a key is tried again under a higher fence.
-func (q *request) ownerID(n *schema.KeyRange) string {
-	return n.Target + "@" + strconv.FormatUint(n.Fence, 10)
-}
-
 // handleResult records the result of a try. It reports whether the request is
 // tried again.
 func (q *request) handleResult(a *schema.SendReply, err error, k group.ID) bool {
--- a/internal/gate/group/group.go
+++ b/internal/gate/group/group.go
@@ -42,6 +42,14 @@
 // ID identifies a group.
 type ID struct{ Service, FailureDomain, Target string }
 
+// IDOf returns the group of a target of a service.
+func IDOf(s platform.Service, t *platform.Target) ID {
+	if s.Keyed {
+		return ID{Service: s.Name, Target: t.ID}
+	}
+	return ID{Service: s.Name, FailureDomain: t.FailureDomain}
+}
+
 // Name returns the name by which the home of the group is chosen.
 func (k ID) Name() string { return k.Service + "/" + k.FailureDomain + "/" + k.Target }
 
@@ -244,7 +252,7 @@
 func (g *home) offer(now clock.Time, v *view.View, r pool.Request, limits []*schema.TargetLimit) (pool.Decision, chan pool.Decision) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.updateTargets(v)
+	g.updateTargets(now, v)
 	for _, l := range limits {
 		g.pool.AdoptLimit(now, l.Target, l.Born, quota.Rate(l.Rate), time.Duration(l.AgeMs)*time.Millisecond)
 	}
@@ -260,7 +268,7 @@
 
 // updateTargets takes the targets of the group from a view. The caller holds
 // mu.
-func (g *home) updateTargets(v *view.View) {
+func (g *home) updateTargets(now clock.Time, v *view.View) {
 	if g.view == v {
 		return
 	}
@@ -268,16 +276,39 @@
 	g.targets = map[string]*platform.Target{}
 	var ts []pool.Target
 	for _, t := range v.Services[g.id.Service] {
-		if t.Leaving || g.id.Target != "" && t.ID != g.id.Target || g.id.Target == "" && t.FailureDomain != g.id.FailureDomain {
+		if !t.Open() || g.id.Target != "" && t.ID != g.id.Target || g.id.Target == "" && t.FailureDomain != g.id.FailureDomain {
 			continue
 		}
 		g.targets[t.ID] = t
 		ts = append(ts, pool.Target{ID: t.ID, Slots: t.Slots, Cold: t.Cold, Born: t.Born})
 	}
 	g.pool.SetTargets(ts)
+	g.pool.SetWarmup(now, warmupRate(v, g.id.Service))
 	maps.DeleteFunc(g.crashes, func(n hazard.Run, _ *crash) bool { t := g.targets[n.Target]; return t == nil || t.Born != n.Born })
 }
 
+// SetCold records for how long a run of a target has said that it stays cold.
+func (h *Homes) SetCold(k ID, t *platform.Target, left time.Duration) {
+	g := h.home(k)
+	g.mu.Lock()
+	now := clock.Boot()
+	g.updateTargets(now, h.views.View())
+	changed := g.pool.SetCold(now, t.ID, t.Born, left)
+	g.mu.Unlock()
+	if changed {
+		h.log.Info().Str("event", "target-cold").Str("service", k.Service).Str("target", t.ID).Bool("cold", left > 0).Dur("left", left).Msg("")
+		h.meter.Cold(k.Service, left > 0)
+	}
+}
+
+// warmupRate returns the rate of requests that each cold target of a service takes.
+func warmupRate(v *view.View, service string) quota.Rate {
+	if v.Desired == nil || v.Desired.Services[service].WarmupRate == 0 {
+		return quota.Unlimited
+	}
+	return quota.Rate(v.Desired.Services[service].WarmupRate)
+}
+
 // deliverDecisions passes the decisions that are due to the waiting requests.
 // The caller holds mu.
 func (g *home) deliverDecisions(now clock.Time) {
--- a/internal/gate/keeper/keeper.go
+++ b/internal/gate/keeper/keeper.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +21,7 @@
 	"dandelionrock.example/dandelionrock/internal/gate/meter"
 	"dandelionrock.example/dandelionrock/internal/plan/hold"
 	"dandelionrock.example/dandelionrock/internal/plan/keys"
+	"dandelionrock.example/dandelionrock/internal/plan/realm"
 	"dandelionrock.example/dandelionrock/internal/relay"
 	"dandelionrock.example/dandelionrock/internal/state/alive"
 	"dandelionrock.example/dandelionrock/internal/state/syncer"
@@ -77,6 +79,7 @@
 	owners  *keys.Owners
 	log     zerolog.Logger
 	leaving func() bool
+	region  func(failureDomain string) string
 	guard   *guard.Guard
 	meter   *meter.Meter
 	// hold is the hold time of grants.
@@ -183,6 +186,8 @@
 	Meter *meter.Meter
 	// MaxHold is the longest hold time that targets accept.
 	MaxHold time.Duration
+	// Region returns the region of a failure domain, or "" if it is not known.
+	Region func(failureDomain string) string
 	// Leaving reports whether the instance is shutting down.
 	Leaving func() bool
 }
@@ -191,7 +196,7 @@
 func New(o Options) *Keeper {
 	k := &Keeper{
 		service: o.Service, self: o.Self, syncer: o.Syncer, store: o.Store, granter: o.Granter, pool: o.Pool, alive: o.Alive,
-		owners: o.Owners, log: o.Log.With().Str("service", o.Service).Logger(), leaving: o.Leaving, guard: o.Guard, meter: o.Meter, hold: min(defaultHold, o.MaxHold),
+		owners: o.Owners, log: o.Log.With().Str("service", o.Service).Logger(), leaving: o.Leaving, region: o.Region, guard: o.Guard, meter: o.Meter, hold: min(defaultHold, o.MaxHold),
 		grantStates: map[string]*grantState{}, ratings: map[string]*rating{}, balancer: &keys.Balancer{},
 	}
 	c, stop := context.WithCancel(context.Background())
@@ -264,15 +269,33 @@
 // The caller holds mu.
 func (k *Keeper) members(now clock.Time, v *view.View) []keys.Member {
 	mean := k.meanServiceTime(now, v)
-	var m []keys.Member
+	var open []*platform.Target
 	for _, t := range v.Services[k.service] {
-		if !t.Leaving {
-			m = append(m, keys.Member{ID: t.ID, Born: t.Born, Weight: k.rating(t.ID).capacity(now, t.Slots, mean)})
+		if t.Open() {
+			open = append(open, t)
 		}
 	}
+	var m []keys.Member
+	for _, t := range realm.Prefer(k.realm(v), open, func(t *platform.Target) string { return k.region(t.FailureDomain) }) {
+		m = append(m, keys.Member{ID: t.ID, Born: t.Born, Weight: k.rating(t.ID).capacity(now, t.Slots, mean)})
+	}
 	return m
 }
 
+// realm returns the regions to which requests of all routes to the service are permitted.
+func (k *Keeper) realm(v *view.View) realm.Realm {
+	if v.Desired == nil {
+		return realm.Realm{}
+	}
+	var homes [][]string
+	for _, r := range v.Desired.Routes {
+		if slices.ContainsFunc(r.Split, func(s platform.WeightedService) bool { return s.Service == k.service }) {
+			homes = append(homes, r.Homes)
+		}
+	}
+	return realm.Of(homes...)
+}
+
 // meanServiceTime returns the mean service time of the targets, or
 // defaultServiceTime if none is known. The caller holds mu.
 func (k *Keeper) meanServiceTime(now clock.Time, v *view.View) time.Duration {
--- a/internal/gate/meter/meter.go
+++ b/internal/gate/meter/meter.go
@@ -121,6 +121,11 @@
 	m.scope.Tagged(map[string]string{"service": service, "outcome": outcome}).Counter("returned_requests").Inc(1)
 }
 
+// Cold counts a target that said in a check that it has become cold or is warm again.
+func (m *Meter) Cold(service string, cold bool) {
+	m.scope.Tagged(map[string]string{"service": service, "cold": strconv.FormatBool(cold)}).Counter("target_warmups").Inc(1)
+}
+
 // Cut counts a request whose connection ended before its response was sent, by what it
 // had reached. leaving tells whether the instance was shutting down.
 func (m *Meter) Cut(service, progress string, leaving bool) {
--- a/internal/gate/router/peers.go
+++ b/internal/gate/router/peers.go
@@ -249,7 +249,7 @@
 	}
 	n.connections.Keep(func(p sender.Target) bool {
 		t := v.Targets[p.ID]
-		return t != nil && t.Born == p.Born && t.Address == p.Address && !t.Leaving
+		return t != nil && t.Born == p.Born && t.Address == p.Address && t.Open()
 	})
 	if v.Desired == nil {
 		return
@@ -262,7 +262,7 @@
 		if d.Keyed && n.keepers[s] == nil {
 			n.keepers[s] = keeper.New(keeper.Options{
 				Service: s, Self: n.self, Syncer: n.syncer, Store: n.store, Granter: n.granter, Pool: n.pool, Alive: n.alive,
-				Owners: n.owners, Log: n.log, MaxHold: n.settings.MaxHold, Leaving: n.leaving.Load, Guard: n.guard, Meter: n.meter,
+				Owners: n.owners, Log: n.log, MaxHold: n.settings.MaxHold, Region: n.entry.Region, Leaving: n.leaving.Load, Guard: n.guard, Meter: n.meter,
 			})
 		}
 	}
--- a/internal/gate/router/router.go
+++ b/internal/gate/router/router.go
@@ -20,6 +20,7 @@
 	"dandelionrock.example/dandelionrock/internal/gate/entry"
 	"dandelionrock.example/dandelionrock/internal/gate/group"
 	"dandelionrock.example/dandelionrock/internal/gate/guard"
+	"dandelionrock.example/dandelionrock/internal/gate/health"
 	"dandelionrock.example/dandelionrock/internal/gate/herald"
 	"dandelionrock.example/dandelionrock/internal/gate/keeper"
 	"dandelionrock.example/dandelionrock/internal/gate/meter"
@@ -47,6 +48,9 @@
 	// closeTimeout bounds the wait for the parts of the instance to close, after the
 	// schedule of the shutdown has ended.
 	closeTimeout = 200 * time.Millisecond
+	// probeIdle is how long a connection for checks is kept; a target is checked more
+	// often.
+	probeIdle = 5 * time.Second
 	// goMemoryShare is the fraction of the memory limit that is set as the soft
 	// limit of the Go runtime.
 	goMemoryShare = 0.6
@@ -101,6 +105,8 @@
 	// schedule is that of the shutdown; nil before.
 	schedule atomic.Pointer[stop.Schedule]
 	guard    *guard.Guard
+	prober   *platform.Prober
+	checker  *health.Checker
 	// failed is closed when a duty can't go on.
 	failed chan struct{}
 	// inForce holds the settings that the instance runs with.
@@ -167,6 +173,10 @@
 		Self: n.self, Views: n.syncer, Homes: n.homes, Pool: n.pool, Alive: n.alive, Owners: n.owners, Warden: n.warden,
 		Bodies: n.bodies, Log: l, Meter: n.meter, Leaving: n.leaving.Load, Stop: n.schedule.Load, Age: n.syncer.Age, ConfigurationAge: n.syncer.ConfigurationAge,
 	})
+	n.prober = platform.NewProber(probeIdle)
+	n.checker = health.New(health.Options{
+		Views: n.syncer, IsHome: n.entry.IsHome, Cold: n.homes.SetCold, Check: n.prober.Check, Log: l, Guard: n.guard,
+	})
 	return n
 }
 
@@ -205,7 +215,7 @@
 	n.group.Go(func() { n.logServerEnd("ready", n.ready.Serve(r)) })
 	n.syncer.Start()
 	for duty, f := range map[string]func(context.Context){
-		"register": n.register, "follow-view": n.followView, "probe": n.probe, "report-loads": n.reportLoads, "reload": n.reload,
+		"register": n.register, "follow-view": n.followView, "probe": n.probe, "report-loads": n.reportLoads, "reload": n.reload, "check-targets": n.checker.Run,
 	} {
 		n.group.Go(func() { n.guard.Run(c, duty, func() { f(c) }) })
 	}
@@ -320,7 +330,7 @@
 // closeAll closes all parts and waits for their goroutines.
 func (n *Instance) closeAll() error {
 	var err error
-	for _, c := range []io.Closer{n.ready, n.metrics, n.entry, n.homes, n.herald, n.syncer, n.pool, n.connections, n.granter, n.store} {
+	for _, c := range []io.Closer{n.ready, n.metrics, n.entry, n.homes, n.herald, n.syncer, n.pool, n.connections, n.granter, n.prober, n.store} {
 		err = errors.CombineErrors(err, c.Close())
 	}
 	n.group.Wait()
--- a/internal/plan/pool/limit.go
+++ b/internal/plan/pool/limit.go
@@ -1,7 +1,7 @@
 package pool
 
 import (
-	"slices"
+	"math"
 	"time"
 
 	"dandelionrock.example/dandelionrock/clock"
@@ -24,6 +24,17 @@
 	return Limit{m.ID, m.Born, m.quota.Rate(), m.quota.Recent(now), m.quota.Use(now)}
 }
 
+// maySend reports whether the limits of the target let a request start now.
+func (m *member) maySend(now clock.Time) bool { return m.within(now, 0) >= 1 }
+
+// within returns how many requests may start within d from now.
+func (m *member) within(now clock.Time, d time.Duration) float64 {
+	if !m.isCold(now) {
+		return m.quota.Within(now, d)
+	}
+	return min(m.quota.Within(now, d), m.warmup.Within(now, d))
+}
+
 // SetLimit records the rate that a run of a target names, which may be
 // quota.Unlimited. It returns the limit, and whether it has changed.
 func (p *Pool) SetLimit(now clock.Time, target string, born int64, r quota.Rate) (Limit, bool) {
@@ -55,8 +66,20 @@
 }
 
 // limited reports whether any target names a limit.
-func (p *Pool) limited() bool {
-	return slices.ContainsFunc(p.members, func(m *member) bool { return m.quota.Rate() != quota.Unlimited })
+func (p *Pool) limited(now clock.Time) bool { return p.limitReason(now) != "" }
+
+// limitReason returns the reason for which requests wait for limits of the targets, or "".
+func (p *Pool) limitReason(now clock.Time) string {
+	reason := ""
+	for _, m := range p.members {
+		if m.quota.Rate() != quota.Unlimited {
+			return ReasonLimited
+		}
+		if m.isCold(now) && m.warmup.Rate() != quota.Unlimited {
+			reason = ReasonCold
+		}
+	}
+	return reason
 }
 
 // outOfReach reports whether the limits of the targets don't let the n-th waiting
@@ -72,7 +95,7 @@
 // limitedWait returns how long the n-th further request is expected to wait, with
 // regard to the limits of the targets; 0 if there are none.
 func (p *Pool) limitedWait(now clock.Time, n int) time.Duration {
-	if !p.limited() || p.startsWithin(now, 0) >= float64(n) {
+	if !p.limited(now) || p.startsWithin(now, 0) >= float64(n) {
 		return 0
 	}
 	// The number of starts grows with the time, so the time is found by bisection.
@@ -101,7 +124,7 @@
 			continue
 		}
 		slots := float64(m.Slots-m.running) + float64(m.Slots)*float64(d)/float64(p.meanTime())
-		sum += max(0, min(slots, m.quota.Within(now, d)))
+		sum += max(0, math.Floor(min(slots, m.within(now, d))))
 	}
 	return sum
 }
--- a/internal/plan/pool/limit_test.go
+++ b/internal/plan/pool/limit_test.go
@@ -63,3 +63,80 @@
 		t.Errorf("Next() = %+v, want two refusals of three waiting requests", out)
 	}
 }
+
+// The terms by which targets that have become cold state their rate: more than
+// warmupOverage times the rate and warmupSlack requests in a second crash them.
+const (
+	warmupRate    = 4.6
+	warmupOverage = 1.5
+	warmupSlack   = 8
+)
+
+// All targets of a group become cold in the middle of a burst, and after two seconds
+// another home takes the group over. Guards against more requests than a cold target
+// takes from both homes together, and against a group that stands still.
+func TestColdTargetsAcrossHomes(t *testing.T) {
+	warm := []Target{{ID: "t0", Slots: 6}, {ID: "t1", Slots: 6}}
+	cold := []Target{{ID: "t0", Slots: 6, Cold: true}, {ID: "t1", Slots: 6, Cold: true}}
+	homes := [2]Pool{}
+	homes[0].SetTargets(warm)
+	begin := clock.Time(time.Hour)
+	const coldAfter, handedOver, end = time.Second, 3 * time.Second, 5 * time.Second
+	sent := map[string][]clock.Time{}
+	for d := time.Duration(0); d < end; d += 10 * time.Millisecond {
+		now, p := begin.Add(d), &homes[0]
+		if d >= handedOver {
+			p = &homes[1]
+		}
+		if d >= coldAfter {
+			p.SetTargets(cold)
+			p.SetWarmup(now, warmupRate)
+		}
+		n := p.Offer(now, Request{ID: ID(d), Begin: now, Objective: now.Add(100 * time.Millisecond), Deadline: now.Add(100 * time.Millisecond)})
+		if n.Verdict == Wait {
+			p.Cancel(n.ID)
+		}
+		if n.Verdict == Refuse && d > coldAfter && n.Reason != ReasonCold {
+			t.Fatalf("refused after %v because of %q", d, n.Reason)
+		}
+		if n.Verdict == Start {
+			sent[n.Target] = append(sent[n.Target], now)
+			p.Done(now, n.Target, 0, 20*time.Millisecond, Answered)
+		}
+	}
+	for id, at := range sent {
+		count := 0
+		for i, a := range at {
+			if a < begin.Add(coldAfter) {
+				continue
+			}
+			count++
+			within := 1
+			for j := i - 1; j >= 0 && at[j] >= begin.Add(coldAfter) && a.Sub(at[j]) < time.Second; j-- {
+				within++
+			}
+			if float64(within) > warmupRate*warmupOverage+warmupSlack {
+				t.Fatalf("%s got %d requests in a second", id, within)
+			}
+		}
+		if least := warmupRate * (end - coldAfter - 2*time.Second).Seconds(); float64(count) < least {
+			t.Errorf("%s got %d requests while it was cold, want at least %.0f", id, count, least)
+		}
+	}
+}
+
+// Guards against a rate of cold targets that holds on when they are warm.
+func TestWarmAgain(t *testing.T) {
+	var p Pool
+	now := clock.Time(time.Hour)
+	for i, c := range []bool{true, false, true} {
+		p.SetTargets([]Target{{ID: "t", Slots: 100, Cold: c}})
+		p.SetWarmup(now, warmupRate)
+		for id := range ID(20) {
+			if d := p.Offer(now, Request{ID: id, Begin: now, Objective: now, Deadline: now}); d.Verdict == Start != !c {
+				t.Fatalf("step %d: Offer() = %+v", i, d)
+			}
+		}
+		now = now.Add(time.Second)
+	}
+}
--- a/internal/plan/pool/pool.go
+++ b/internal/plan/pool/pool.go
@@ -57,6 +57,10 @@
 	// barredUntil is until when the target wants no requests from this sender.
 	barredUntil clock.Time
 	quota       quota.Quota
+	// warmup bounds the requests while the target is cold.
+	warmup quota.Quota
+	// coldUntil is until when the target has said that it is cold.
+	coldUntil clock.Time
 }
 
 // Pool holds the targets of a group and the requests that wait for them. The zero
@@ -65,6 +69,8 @@
 	members []*member
 	waiting []Request
 	mean    time.Duration
+	// warmupRate is the rate of cold targets; see SetWarmup.
+	warmupRate quota.Rate
 	// promised holds when refused requests were told to retry, for those that are
 	// still to come because of limits.
 	promised []clock.Time
@@ -80,6 +86,8 @@
 	// Wait is how long a new request would wait because of the limits of the
 	// targets.
 	Wait time.Duration
+	// limit is the reason for Wait.
+	limit string
 }
 
 // Backlog returns how long a new request would wait for a slot and the limits of the
@@ -101,7 +109,7 @@
 // full returns the reason for which a request can't wait.
 func (l Load) full() string {
 	if l.Wait > l.slotWait() {
-		return ReasonLimited
+		return l.limit
 	}
 	return ReasonFull
 }
@@ -112,7 +120,7 @@
 	old := p.members
 	p.members = nil
 	for _, v := range t {
-		m := &member{Target: v}
+		m := &member{Target: v, warmup: quota.Quota{Burst: warmupBurst}}
 		if i := slices.IndexFunc(old, func(o *member) bool { return o.ID == v.ID && o.Born == v.Born }); i >= 0 {
 			m = old[i]
 			m.Target = v
@@ -124,7 +132,7 @@
 // Load returns the load of the targets that take requests at the given time or
 // within shortPause.
 func (p *Pool) Load(now clock.Time) Load {
-	l := Load{Waiting: len(p.waiting), Mean: p.meanTime(), Wait: p.limitedWait(now, len(p.waiting)+1)}
+	l := Load{Waiting: len(p.waiting), Mean: p.meanTime(), Wait: p.limitedWait(now, len(p.waiting)+1), limit: p.limitReason(now)}
 	for _, m := range p.members {
 		if now.Add(shortPause) >= m.availableAt() {
 			l.Slots += m.Slots
@@ -143,12 +151,12 @@
 }
 
 // expectedTime returns the expected service time of a target.
-func (p *Pool) expectedTime(m *member) time.Duration {
+func (p *Pool) expectedTime(now clock.Time, m *member) time.Duration {
 	d := m.mean
 	if d == 0 {
 		d = p.meanTime()
 	}
-	if m.Cold {
+	if m.isCold(now) {
 		d = max(d, coldFactor*p.meanTime())
 	}
 	return d
@@ -198,7 +206,7 @@
 // because of limits are told to retry at the rate that is free.
 func (p *Pool) retryAfter(now clock.Time, l Load) time.Duration {
 	d := l.Backlog()
-	if l.full() == ReasonLimited {
+	if l.full() != ReasonFull {
 		p.promised = slices.DeleteFunc(p.promised, func(t clock.Time) bool { return t <= now })
 		d = max(d, p.limitedWait(now, l.Waiting+len(p.promised)+1))
 		p.promised = append(p.promised, now.Add(min(d, maxRetry)))
@@ -213,17 +221,17 @@
 func (p *Pool) fastestFree(now clock.Time, r Request) *member {
 	var best *member
 	for _, m := range p.members {
-		if m.running >= m.Slots || now < m.availableAt() || !m.quota.MaySend(now) || slices.Contains(r.Exclude, m.ID) || r.Suspect && m.suspects > 0 {
+		if m.running >= m.Slots || now < m.availableAt() || !m.maySend(now) || slices.Contains(r.Exclude, m.ID) || r.Suspect && m.suspects > 0 {
 			continue
 		}
-		if best == nil || p.costFor(m, r) < p.costFor(best, r) {
+		if best == nil || p.costFor(now, m, r) < p.costFor(now, best, r) {
 			best = m
 		}
 	}
-	if best == nil || now.Add(p.expectedTime(best)) <= r.Objective || r.missesObjective(now, p.meanTime()) {
+	if best == nil || now.Add(p.expectedTime(now, best)) <= r.Objective || r.missesObjective(now, p.meanTime()) {
 		return best
 	}
-	if p.expectedTime(best) > 2*p.meanTime() && len(p.members) > 1 && best.running > 0 {
+	if p.expectedTime(now, best) > 2*p.meanTime() && len(p.members) > 1 && best.running > 0 {
 		return nil
 	}
 	return best
@@ -231,8 +239,8 @@
 
 // cost orders targets by expected service time, increased with the fraction of
 // their slots in use and with consecutive failures.
-func (p *Pool) cost(m *member) time.Duration {
-	d := p.expectedTime(m)
+func (p *Pool) cost(now clock.Time, m *member) time.Duration {
+	d := p.expectedTime(now, m)
 	return d + d*time.Duration(m.running)/time.Duration(4*m.Slots) + d*time.Duration(m.failures)
 }
 
@@ -242,11 +250,11 @@
 
 // costFor is the cost of a target for a request. Suspects and others are kept apart where
 // possible.
-func (p *Pool) costFor(m *member, r Request) time.Duration {
+func (p *Pool) costFor(now clock.Time, m *member, r Request) time.Duration {
 	if m.suspects > 0 || r.Suspect && m.running > 0 {
-		return suspectFactor * p.cost(m)
+		return suspectFactor * p.cost(now, m)
 	}
-	return p.cost(m)
+	return p.cost(now, m)
 }
 
 // start counts a request as running at m.
@@ -256,6 +264,7 @@
 		m.suspects++
 	}
 	m.quota.Send(now)
+	m.warmup.Send(now)
 	return Decision{ID: r.ID, Verdict: Start, Target: m.ID}
 }
 
@@ -293,8 +302,8 @@
 		m.pause(now, unreachablePause, maxUnreachablePause)
 	case Failed:
 		m.failures++
-		if took > p.expectedTime(m) {
-			m.mean = movingAverage(p.expectedTime(m), took)
+		if took > p.expectedTime(now, m) {
+			m.mean = movingAverage(p.expectedTime(now, m), took)
 		}
 		if m.failures > failuresBeforePause {
 			m.failures--
@@ -346,10 +355,12 @@
 // be refused, or "".
 func (p *Pool) hopeless(now clock.Time, r Request, n int, mean time.Duration) string {
 	switch {
+	case len(p.members) == 0:
+		return ReasonNoTarget
 	case p.expired(now, r, mean):
 		return ReasonExpired
 	case p.outOfReach(now, n, r, mean):
-		return ReasonLimited
+		return p.limitReason(now)
 	case p.barredBeyond(r.Deadline.Add(-mean)):
 		return ReasonPaused
 	}
@@ -357,10 +368,9 @@
 }
 
 // expired reports whether a waiting request is to be refused: it can't end before
-// its deadline, it is late and has waited for more than two mean service times,
-// or there are no targets.
+// its deadline, or it is late and has waited for more than two mean service times.
 func (p *Pool) expired(now clock.Time, r Request, mean time.Duration) bool {
-	return now.Add(mean/2) > r.Deadline || len(p.members) == 0 || now > r.Objective && now.Sub(r.Begin) > 2*mean
+	return now.Add(mean/2) > r.Deadline || now > r.Objective && now.Sub(r.Begin) > 2*mean
 }
 
 // compare orders waiting requests: first those that can meet their objective, by
--- a/internal/plan/pool/request.go
+++ b/internal/plan/pool/request.go
@@ -42,6 +42,7 @@
 	ReasonFull     = "full"
 	ReasonExpired  = "waited-too-long"
 	ReasonLimited  = "target-limit"
+	ReasonCold     = "targets-cold"
 )
 
 // Decision is the verdict on a request with its details.
--- a/internal/plan/quota/quota.go
+++ b/internal/plan/quota/quota.go
@@ -19,8 +19,7 @@
 const (
 	// Window is the period over which Recent counts requests.
 	Window = 4 * time.Second
-	// burstTime is the time for which a rate may be saved up, in addition to one
-	// request.
+	// burstTime is the default of Quota.Burst.
 	burstTime = time.Second
 	// debtTime bounds the time for which a target gets nothing because it got more
 	// than its rate right before it named it.
@@ -40,6 +39,9 @@
 // Quota is a token bucket with the rate that a target names. The zero value is
 // unlimited. It is not safe for concurrent use.
 type Quota struct {
+	// Burst is the time for which a rate may be saved up, in addition to one request. It
+	// must not change; 0 stands for burstTime.
+	Burst time.Duration
 	// rate applies only if limited is set.
 	rate    Rate
 	limited bool
@@ -65,10 +67,10 @@
 	if !q.limited {
 		q.use = Use{}
 		q.at = now
-		q.tokens = max(burst(r)-float64(q.sentSince(now.Add(-debtTime))), -r.per(debtTime))
+		q.tokens = max(q.burst(r)-float64(q.sentSince(now.Add(-debtTime))), -r.per(debtTime))
 	}
 	q.rate, q.limited = r, r != Unlimited
-	q.tokens = min(q.tokens, burst(r))
+	q.tokens = min(q.tokens, q.burst(r))
 	return true
 }
 
@@ -133,7 +135,7 @@
 	}
 	q.tokens += q.rate.per(now.Sub(q.at))
 	q.at = now
-	if lost := q.tokens - burst(q.rate); lost > 0 {
+	if lost := q.tokens - q.burst(q.rate); lost > 0 {
 		q.tokens -= lost
 		q.use.Unused += lost
 	}
@@ -143,7 +145,12 @@
 func (r Rate) per(d time.Duration) float64 { return float64(max(r, probeRate)) * d.Seconds() }
 
 // burst returns the number of requests that a rate allows at once.
-func burst(r Rate) float64 { return 1 + r.per(burstTime) }
+func (q *Quota) burst(r Rate) float64 {
+	if q.Burst > 0 {
+		return 1 + r.per(q.Burst)
+	}
+	return 1 + r.per(burstTime)
+}
 
 func (q *Quota) sentSince(t clock.Time) int {
 	i := slices.IndexFunc(q.sent, func(s clock.Time) bool { return s > t })
--- a/internal/state/view/view.go
+++ b/internal/state/view/view.go
@@ -19,6 +19,8 @@
 type View struct {
 	// Desired is the configuration; nil until the first one is known.
 	Desired *platform.Desired
+	// Evacuated holds the failure domains whose targets must get nothing.
+	Evacuated map[string]bool
 	// Targets holds the registered targets by id.
 	Targets map[string]*platform.Target
 	// Told holds the runs of targets that have said in a response that they leave, by
@@ -66,7 +68,7 @@
 
 // Empty returns an empty view.
 func Empty() *View {
-	return &View{Targets: map[string]*platform.Target{}, Told: map[string]int64{}, Services: map[string][]*platform.Target{}, Incarnations: map[string]string{}, Maps: map[string]Map{}}
+	return &View{Evacuated: map[string]bool{}, Targets: map[string]*platform.Target{}, Told: map[string]int64{}, Services: map[string][]*platform.Target{}, Incarnations: map[string]string{}, Maps: map[string]Map{}}
 }
 
 // Instance returns the instance of the directory with an id, and false if there is
@@ -82,6 +84,9 @@
 // WithDesired returns the view with a changed configuration. It returns v and an
 // error if the configuration is malformed or its version is not higher.
 func (v *View) WithDesired(c mirror.Change) (*View, error) {
+	if d, ok := strings.CutPrefix(c.Key, platform.PrefixEvacuated); ok {
+		return v.withEvacuated(d, c.Value != nil), nil
+	}
 	if c.Key != platform.KeyDesired || c.Value == nil {
 		return v, nil
 	}
@@ -100,6 +105,19 @@
 	return &n, nil
 }
 
+// withEvacuated returns the view with a failure domain that is evacuated or not.
+func (v *View) withEvacuated(domain string, evacuated bool) *View {
+	n := *v
+	n.Evacuated, n.Targets = maps.Clone(v.Evacuated), maps.Clone(v.Targets)
+	if evacuated {
+		n.Evacuated[domain] = true
+	} else {
+		delete(n.Evacuated, domain)
+	}
+	n.groupTargets()
+	return &n
+}
+
 // WithTargets returns the view with changed targets, and an error if rows could not
 // be decoded; their targets are left out.
 func (v *View) WithTargets(changes []mirror.Change) (*View, error) {
@@ -130,11 +148,17 @@
 	return &n, true
 }
 
-// groupTargets sets Services from Targets.
+// groupTargets sets Services from Targets, and which targets are evacuated. The map
+// Targets must not be shared with another view.
 func (v *View) groupTargets() {
 	v.Services = map[string][]*platform.Target{}
 	for _, id := range slices.Sorted(maps.Keys(v.Targets)) {
 		t := v.Targets[id]
+		if e := v.Evacuated[t.FailureDomain]; e != t.Evacuated {
+			c := *t
+			c.Evacuated = e
+			t, v.Targets[id] = &c, &c
+		}
 		v.Services[t.Service] = append(v.Services[t.Service], t)
 	}
 }
--- a/internal/state/view/view_test.go
+++ b/internal/state/view/view_test.go
@@ -107,3 +107,30 @@
 		}
 	}
 }
+
+// Guards against targets that are used while their failure domain is evacuated, whichever
+// row arrives first, and against ones that stay out when it is taken back.
+func TestEvacuated(t *testing.T) {
+	evacuate := func(v *View, value []byte) *View {
+		n, err := v.WithDesired(mirror.Change{Key: platform.PrefixEvacuated + "z", Value: value})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return n
+	}
+	before := with(t, Empty(), mirror.Change{Key: "a", Value: row("s", "10.0.0.1:80", 10)})
+	v := with(t, evacuate(before, []byte("{}")), mirror.Change{Key: "b", Value: row("s", "10.0.0.2:80", 10)})
+	for _, x := range v.Services["s"] {
+		if x.Open() || !x.Evacuated || v.Targets[x.ID] != x {
+			t.Errorf("target %s of an evacuated domain is %+v", x.ID, x)
+		}
+	}
+	if !before.Services["s"][0].Open() {
+		t.Error("an earlier view has changed")
+	}
+	for _, x := range evacuate(v, nil).Services["s"] {
+		if !x.Open() {
+			t.Errorf("target %s is out of service after its domain was taken back", x.ID)
+		}
+	}
+}
