entry, group, pool: large bodies are sent only to homes with room; domains that were taken back count as cold

An entry now asks a home first whether it would refuse a request of 16 KiB or more.

Targets of a domain that is taken back count as cold until they say otherwise in a check: their rows say so up to two seconds later.

--- a/internal/gate/entry/pieces.go
+++ b/internal/gate/entry/pieces.go
@@ -17,6 +17,10 @@
 )
 
 const (
+	// minPreviewed is the length in bytes from which a body is sent only after its home
+	// has said that it wouldn't refuse the request: it takes longer to send than the
+	// question, and crosses each border once.
+	minPreviewed = 16 << 10
 	// maxWhole is the length in bytes of the longest body that is sent to a home within
 	// its request. It takes 0.2 s at 10 Mbit/s.
 	maxWhole = 256 << 10
@@ -59,6 +63,9 @@
 // callHome calls Gate.Send of another instance. A large body is sent ahead in pieces.
 func (e *Entry) callHome(c context.Context, h realm.Permitted[peer.Instance], t depot.Account, m *schema.SendRequest, a *schema.SendReply) error {
 	i := h.Value()
+	if refused, err := e.preview(c, i, m, a); refused || err != nil {
+		return err
+	}
 	if len(m.Body) <= maxWhole {
 		return e.Pool.Call(c, i.RPCAddress, "Gate.Send", m, a)
 	}
@@ -82,6 +89,29 @@
 	return e.Pool.Call(c, i.RPCAddress, "Gate.SendStored", &schema.SendStoredRequest{Request: m, Length: int64(len(body))}, a)
 }
 
+// preview asks a home whether it would refuse a request with a large body. It reports
+// whether a holds its refusal.
+func (e *Entry) preview(c context.Context, i peer.Instance, m *schema.SendRequest, a *schema.SendReply) (refused bool, err error) {
+	if len(m.Body) < minPreviewed {
+		return false, nil
+	}
+	body, begin := m.Body, clock.Boot()
+	m.Body = nil
+	err = e.Pool.Call(c, i.RPCAddress, "Gate.Preview", m, a)
+	m.Body = body
+	took := clock.Boot().Sub(begin).Milliseconds()
+	m.LeftMs, m.ObjectiveMs = m.LeftMs-took, m.ObjectiveMs-took
+	var unknown rpc.ServerError
+	switch {
+	case errors.As(err, &unknown):
+		// An instance of an earlier version answers no previews.
+		return false, nil
+	case err != nil:
+		return false, errors.Mark(err, relay.ErrNotSent)
+	}
+	return a.Outcome == schema.SendOutcome_SEND_OUTCOME_REFUSED, nil
+}
+
 // sendPieces sends the body of a request to its home. It fails with depot.ErrFull if the
 // home has no memory for it.
 func (e *Entry) sendPieces(c context.Context, h realm.Permitted[peer.Instance], t depot.Account, m *schema.SendRequest) error {
--- a/internal/gate/entry/pieces_test.go
+++ b/internal/gate/entry/pieces_test.go
@@ -83,3 +83,45 @@
 		t.Errorf("old home: %d bytes; new home: %d bytes, %d stored", old.received.Load(), recent.received.Load(), recent.stored.Load())
 	}
 }
+
+// fullHome is a home without room. It counts the bytes of bodies that it gets.
+type fullHome struct{ newHome }
+
+func (h *fullHome) Preview(q *schema.SendRequest, a *schema.SendReply) error {
+	h.received.Add(int64(len(q.Body)))
+	a.Outcome, a.Reason, a.RetryMs = schema.SendOutcome_SEND_OUTCOME_REFUSED, "full", 200
+	return nil
+}
+
+func (h *fullHome) Send(q *schema.SendRequest, a *schema.SendReply) error {
+	h.received.Add(int64(len(q.Body)))
+	return h.Preview(q, a)
+}
+
+// Uploads come faster than the targets take them. Guards against bodies that are sent to
+// one home after the other, each of which has no room for them.
+func TestNoBodyToAHomeWithoutRoom(t *testing.T) {
+	h, s := &fullHome{}, relay.NewServer(relay.Options{})
+	if err := s.RegisterName("Gate", h); err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve(l) }()
+	defer s.Close()
+	e := newEntry(t, true)
+	e.Pool = relay.NewPool(relay.Options{})
+	defer e.Pool.Close()
+	for _, length := range []int{minPreviewed, maxWhole + 1} {
+		m, a := &schema.SendRequest{Call: e.calls.Add(1), LeftMs: 5000, ObjectiveMs: 5000, Body: make([]byte, length)}, &schema.SendReply{}
+		err := e.callHome(t.Context(), realm.Reached(peer.Instance{ID: "full", RPCAddress: l.Addr().String()}), 1, m, a)
+		if err != nil || a.Outcome != schema.SendOutcome_SEND_OUTCOME_REFUSED || a.RetryMs != 200 || len(m.Body) != length {
+			t.Errorf("a body of %d bytes: %v, %v, %d bytes are left", length, a, err, len(m.Body))
+		}
+	}
+	if n := h.received.Load(); n != 0 {
+		t.Errorf("%d bytes were sent to a home without room", n)
+	}
+}
--- a/internal/gate/group/execute.go
+++ b/internal/gate/group/execute.go
@@ -54,7 +54,7 @@
 			g.pool.DoneSuspect(t.ID, t.Born)
 		}
 		g.pool.Done(now, t.ID, t.Born, now.Sub(begin), result)
-		g.updateTargets(now, h.views.View())
+		h.updateTargets(g, now, h.views.View())
 		g.deliverDecisions(now)
 	}()
 	a.Target = t.ID
--- a/internal/gate/group/group.go
+++ b/internal/gate/group/group.go
@@ -74,7 +74,9 @@
 	next   pool.ID
 	groups map[ID]*home
 	calls  map[call]sending
-	wg     sync.WaitGroup
+	// reopened holds when evacuated failure domains were taken back.
+	reopened reopened
+	wg       sync.WaitGroup
 }
 
 // sending is a request that an entry has sent.
@@ -104,6 +106,9 @@
 	running map[pool.ID]execution
 	// crashes holds the runs of targets that may have crashed.
 	crashes map[hazard.Run]*crash
+	// reopened is when the failure domain was last taken back after an evacuation, as far
+	// as its targets are taken to be cold since.
+	reopened clock.Time
 }
 
 // New returns Homes without groups. They call leaves when a run of a target says in a
@@ -226,8 +231,8 @@
 		a.Outcome, a.Reason, a.RetryMs, a.Ban = schema.SendOutcome_SEND_OUTCOME_REFUSED, warden.Reason, b.LeftMs, b
 		return
 	}
-	r := pool.Request{ID: id, Suspect: q.Suspect || h.warden.Suspected(q.Identity), Priority: int(q.Priority), Begin: now, Objective: now.Add(time.Duration(q.ObjectiveMs) * time.Millisecond), Deadline: end, Exclude: q.Exclude}
-	d, wait := g.offer(now, h.views.View(), r, q.Limits)
+	r := h.poolRequest(now, id, q)
+	d, wait := h.offer(g, now, h.views.View(), r, q.Limits)
 	if wait != nil {
 		d = g.wait(c, id, wait)
 	}
@@ -239,6 +244,30 @@
 	h.execute(c, g, r, d.Target, q, a, end)
 }
 
+// poolRequest returns a request as the pool sees it.
+func (h *Homes) poolRequest(now clock.Time, id pool.ID, q *schema.SendRequest) pool.Request {
+	return pool.Request{
+		ID: id, Suspect: q.Suspect || h.warden.Suspected(q.Identity), Priority: int(q.Priority), Begin: now,
+		Objective: now.Add(time.Duration(q.ObjectiveMs) * time.Millisecond), Deadline: now.Add(time.Duration(q.LeftMs) * time.Millisecond), Exclude: q.Exclude,
+	}
+}
+
+// Preview tells whether a request would be refused now. It has no body, which need not be
+// sent then. The outcome of one that would not be is unspecified.
+func (h *Homes) Preview(q *schema.SendRequest, a *schema.SendReply) {
+	g, now := h.home(ID{q.Service, q.FailureDomain, q.Target}), clock.Boot()
+	g.mu.Lock()
+	h.updateTargets(g, now, h.views.View())
+	g.deliverDecisions(now)
+	d := g.pool.Preview(now, h.poolRequest(now, 0, q))
+	g.mu.Unlock()
+	if d.Verdict == pool.Refuse {
+		a.Outcome, a.Reason, a.RetryMs = schema.SendOutcome_SEND_OUTCOME_REFUSED, d.Reason, d.Retry.Milliseconds()
+		h.meter.Queue(q.Service, d.Reason, 0)
+	}
+	g.addLoad(a)
+}
+
 // queueOutcome returns the name of a decision in the metrics.
 func queueOutcome(d pool.Decision) string {
 	if d.Verdict == pool.Start {
@@ -249,10 +278,10 @@
 
 // offer passes a request to the pool, with the limits that another home has
 // reported. If the request has to wait, the channel receives the later decision.
-func (g *home) offer(now clock.Time, v *view.View, r pool.Request, limits []*schema.TargetLimit) (pool.Decision, chan pool.Decision) {
+func (h *Homes) offer(g *home, now clock.Time, v *view.View, r pool.Request, limits []*schema.TargetLimit) (pool.Decision, chan pool.Decision) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.updateTargets(now, v)
+	h.updateTargets(g, now, v)
 	for _, l := range limits {
 		g.pool.AdoptLimit(now, l.Target, l.Born, quota.Rate(l.Rate), time.Duration(l.AgeMs)*time.Millisecond)
 	}
@@ -266,49 +295,6 @@
 	return d, w
 }
 
-// updateTargets takes the targets of the group from a view. The caller holds
-// mu.
-func (g *home) updateTargets(now clock.Time, v *view.View) {
-	if g.view == v {
-		return
-	}
-	g.view = v
-	g.targets = map[string]*platform.Target{}
-	var ts []pool.Target
-	for _, t := range v.Services[g.id.Service] {
-		if !t.Open() || g.id.Target != "" && t.ID != g.id.Target || g.id.Target == "" && t.FailureDomain != g.id.FailureDomain {
-			continue
-		}
-		g.targets[t.ID] = t
-		ts = append(ts, pool.Target{ID: t.ID, Slots: t.Slots, Cold: t.Cold, Born: t.Born})
-	}
-	g.pool.SetTargets(ts)
-	g.pool.SetWarmup(now, warmupRate(v, g.id.Service))
-	maps.DeleteFunc(g.crashes, func(n hazard.Run, _ *crash) bool { t := g.targets[n.Target]; return t == nil || t.Born != n.Born })
-}
-
-// SetCold records for how long a run of a target has said that it stays cold.
-func (h *Homes) SetCold(k ID, t *platform.Target, left time.Duration) {
-	g := h.home(k)
-	g.mu.Lock()
-	now := clock.Boot()
-	g.updateTargets(now, h.views.View())
-	changed := g.pool.SetCold(now, t.ID, t.Born, left)
-	g.mu.Unlock()
-	if changed {
-		h.log.Info().Str("event", "target-cold").Str("service", k.Service).Str("target", t.ID).Bool("cold", left > 0).Dur("left", left).Msg("")
-		h.meter.Cold(k.Service, left > 0)
-	}
-}
-
-// warmupRate returns the rate of requests that each cold target of a service takes.
-func warmupRate(v *view.View, service string) quota.Rate {
-	if v.Desired == nil || v.Desired.Services[service].WarmupRate == 0 {
-		return quota.Unlimited
-	}
-	return quota.Rate(v.Desired.Services[service].WarmupRate)
-}
-
 // deliverDecisions passes the decisions that are due to the waiting requests.
 // The caller holds mu.
 func (g *home) deliverDecisions(now clock.Time) {
--- a/internal/gate/router/bodies.go
+++ b/internal/gate/router/bodies.go
@@ -21,6 +21,17 @@
 	return err
 }
 
+// Preview tells whether a request, whose body has not been sent, would be refused.
+func (g *gate) Preview(q *schema.SendRequest, a *schema.SendReply) (err error) {
+	defer g.n.guard.Recover("preview", &err)
+	if r := g.n.unavailable(); r != "" {
+		a.Outcome, a.Reason = schema.SendOutcome_SEND_OUTCOME_REFUSED, r
+		return nil
+	}
+	g.n.homes.Preview(q, a)
+	return nil
+}
+
 // SendStored is like Send for a request whose body was sent ahead.
 func (g *gate) SendStored(q *schema.SendStoredRequest, a *schema.SendReply) (err error) {
 	defer g.n.guard.Recover("send-stored", &err)
--- a/internal/gate/router/peers.go
+++ b/internal/gate/router/peers.go
@@ -244,6 +244,7 @@
 
 func (n *Instance) applyView(v *view.View) {
 	n.meter.SetEra(uint64(n.syncer.OwnEra()))
+	n.homes.FollowView(v)
 	for s, m := range v.Maps {
 		n.owners.Adopt(s, m.Epoch, m.Ranges)
 	}
--- a/internal/plan/pool/pool.go
+++ b/internal/plan/pool/pool.go
@@ -164,23 +164,14 @@
 
 // Offer decides on a new request.
 func (p *Pool) Offer(now clock.Time, r Request) Decision {
-	if len(p.members) == 0 {
-		return Decision{r.ID, Refuse, "", noTargetRetry, ReasonNoTarget}
+	d, m := p.decide(now, r)
+	switch d.Verdict {
+	case Start:
+		return p.start(now, r, m)
+	case Wait:
+		p.waiting = append(p.waiting, r)
 	}
-	if len(p.waiting) == 0 {
-		if m := p.fastestFree(now, r); m != nil {
-			return p.start(now, r, m)
-		}
-	}
-	l := p.Load(now)
-	if l.Slots == 0 {
-		return Decision{r.ID, Refuse, "", p.nextPauseEnd(now), ReasonPaused}
-	}
-	if !p.admits(now, l, r) {
-		return Decision{r.ID, Refuse, "", p.retryAfter(now, l), l.full()}
-	}
-	p.waiting = append(p.waiting, r)
-	return Decision{ID: r.ID, Verdict: Wait}
+	return d
 }
 
 // admits reports whether a request may wait. It may if it is expected to meet its
