--- a/internal/fault/soak/faults_test.go
+++ b/internal/fault/soak/faults_test.go
@@ -54,7 +54,7 @@
 		time.Sleep(time.Duration(s.random.IntN(900)) * time.Millisecond)
 	}
 	s.endFaults()
-	s.settle()
+	s.settleEvacuated()
 	stop()
 	g.Wait()
 	s.checkRecovery()
@@ -133,7 +133,7 @@
 }
 
 // actionCount is the number of kinds of actions, which are faults and changes.
-const actionCount = 21
+const actionCount = 23
 
 // performAction performs one random action. A fault that lasts overlaps with the
 // next actions, unless the run is serial.
@@ -188,6 +188,10 @@
 		s.severPeers()
 	case 20:
 		s.restartLeaving(v)
+	case 21:
+		s.evacuate(minFault + time.Duration(s.random.Int64N(int64(7*time.Second))))
+	case 22:
+		s.turnCold()
 	}
 }
 
--- a/internal/fault/soak/run_test.go
+++ b/internal/fault/soak/run_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -70,6 +71,8 @@
 	backups []*fake.Backup
 	// pendingUndos counts the faults that are still to be undone.
 	pendingUndos sync.WaitGroup
+	// evacuated is set while a failure domain is evacuated.
+	evacuated atomic.Bool
 
 	mu         sync.Mutex
 	instances  []*instance
--- a/internal/state/syncer/syncer.go
+++ b/internal/state/syncer/syncer.go
@@ -324,6 +324,7 @@
 	for _, c := range changes {
 		s.log.Debug().Str("event", "row-changed").Str("table", string(names[table])).Str("key", c.Key).Uint64("version", uint64(c.Version)).Bool("removed", c.Value == nil).Msg("")
 	}
+	s.logEvacuations(s.view.Load().Evacuated, v.Evacuated, source)
 	if old := s.view.Load().Desired; v.Desired != nil && (old == nil || old.Version != v.Desired.Version) {
 		now := clock.Boot()
 		s.log.Info().Str("event", "configuration-changed").Uint64("config", v.Desired.Version).Str("source", source).
@@ -332,6 +333,23 @@
 	s.setView(v)
 }
 
+// logEvacuations logs the failure domains that are evacuated or taken back.
+func (s *Syncer) logEvacuations(old, now map[string]bool, source string) {
+	log := func(domain string, evacuated bool) {
+		s.log.Info().Str("event", "evacuation-changed").Str("failure-domain-evacuated", domain).Bool("evacuated", evacuated).Str("source", source).Msg("")
+	}
+	for d := range now {
+		if !old[d] {
+			log(d, true)
+		}
+	}
+	for d := range old {
+		if !now[d] {
+			log(d, false)
+		}
+	}
+}
+
 // setView replaces the view. The caller holds mu.
 func (s *Syncer) setView(v *view.View) {
 	s.view.Store(v)
