--- a/internal/gate/entry/choose.go
+++ b/internal/gate/entry/choose.go
@@ -53,7 +53,8 @@
 			cs = append(cs, place.Candidate{Service: q.service.Name, Domain: d, Distance: e.distance(d), Slots: n})
 		}
 	}
-	b, ok := e.loads.Choose(clock.Boot(), cs)
+	now := clock.Boot()
+	b, ok := e.loads.Choose(now, place.Request{Body: len(q.message.Body), Left: q.objective.Sub(now)}, cs)
 	if !ok {
 		q.giveUp(q.whyNone(v.Services[q.service.Name]))
 		return realm.Permitted[destination]{}, false
--- a/internal/plan/place/place.go
+++ b/internal/plan/place/place.go
@@ -26,6 +26,29 @@
 // nothing from a shorter wait.
 var distancePenalty = [...]time.Duration{Same: 0, Region: 15 * time.Millisecond, Far: 120 * time.Millisecond}
 
+// largeBody is the length in bytes from which the body of a request outweighs all else that
+// it sends over the border of a region.
+const largeBody = 16 << 10
+
+// Request holds the properties of a request that its place depends on.
+type Request struct {
+	// Body is the length of its body in bytes.
+	Body int
+	// Left is the time that is left of its latency objective.
+	Left time.Duration
+}
+
+// penalty returns the additional wait that is accepted before a request with the given
+// mean service time goes to a place at a distance. One with a large body stays in its region
+// for half of the time that it has to spare.
+func (r Request) penalty(d Distance, mean time.Duration) time.Duration {
+	p := distancePenalty[d]
+	if d == Far && r.Body >= largeBody {
+		p = max(p, (r.Left-mean)/2)
+	}
+	return p
+}
+
 // maxLoadAge is the age from which a reported load is ignored.
 const maxLoadAge = 1500 * time.Millisecond
 
@@ -88,14 +111,15 @@
 
 // Choose returns the candidate with the lowest sum of expected wait and distance
 // penalty, and false if there are no candidates.
-func (l *Loads) Choose(now clock.Time, cs []Candidate) (Candidate, bool) {
+func (l *Loads) Choose(now clock.Time, r Request, cs []Candidate) (Candidate, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var best Candidate
 	var bestCost time.Duration
 	found := false
 	for _, c := range cs {
-		cost := l.expectedWait(now, c) + distancePenalty[c.Distance]
+		wait, mean := l.expectedWait(now, c)
+		cost := wait + r.penalty(c.Distance, mean)
 		if !found || cost < bestCost {
 			best, bestCost, found = c, cost, true
 		}
@@ -103,20 +127,21 @@
 	return best, found
 }
 
-// expectedWait returns the expected wait at a candidate: the longer of the wait
+// expectedWait returns the expected wait at a candidate and the mean service time there.
+// The wait is the longer of the wait
 // caused by this instance's own requests and the last reported one, which counts
 // less the older it is.
-func (l *Loads) expectedWait(now clock.Time, c Candidate) time.Duration {
+func (l *Loads) expectedWait(now clock.Time, c Candidate) (wait, mean time.Duration) {
 	r := l.groups[groupID{c.Service, c.Domain}]
 	if r == nil {
-		return 0
+		return 0, 0
 	}
 	own := r.load
 	own.Slots, own.Running, own.Waiting, own.Wait = c.Slots, r.sent, 0, 0
-	wait := own.Backlog()
+	wait = own.Backlog()
 	if age := now.Sub(r.at); age < maxLoadAge && r.at != 0 {
 		reported := time.Duration(float64(r.load.Backlog()) * (1 - float64(age)/float64(maxLoadAge)))
 		wait = max(wait, reported)
 	}
-	return wait
+	return wait, own.Mean
 }
--- a/internal/plan/place/place_test.go
+++ b/internal/plan/place/place_test.go
@@ -33,7 +33,7 @@
 				l.End(now, "s", d, v)
 			}
 		}
-		if got, ok := l.Choose(now, cs); !ok || got.Domain != c.want {
+		if got, ok := l.Choose(now, Request{}, cs); !ok || got.Domain != c.want {
 			t.Errorf("%s: Choose() = %+v, want %s", c.name, got, c.want)
 		}
 	}
@@ -46,7 +46,27 @@
 	l.Begin("s", "same")
 	l.End(now, "s", "same", &pool.Load{Slots: 2, Running: 2, Waiting: 20, Mean: time.Second})
 	cs := []Candidate{{"s", "same", Same, 2}, {"s", "far", Far, 2}}
-	if got, _ := l.Choose(now.Add(2*maxLoadAge), cs); got.Domain != "same" {
+	if got, _ := l.Choose(now.Add(2*maxLoadAge), Request{}, cs); got.Domain != "same" {
 		t.Errorf("Choose() = %+v", got)
 	}
 }
+
+// Uploads come faster than the targets of the region run them. Guards against bodies that
+// cross to another region although they can still be in time in their own, and against ones
+// that are late there while another region has room.
+func TestLargeBodiesStay(t *testing.T) {
+	cs := []Candidate{{"s", "same", Same, 4}, {"s", "far", Far, 4}}
+	now := clock.Time(time.Hour)
+	for _, c := range []struct {
+		body    int
+		waiting int
+		want    string
+	}{{100, 8, "far"}, {60_000, 8, "same"}, {60_000, 40, "far"}} {
+		var l Loads
+		l.Begin("s", "same")
+		l.End(now, "s", "same", &pool.Load{Slots: 4, Running: 4, Waiting: c.waiting, Mean: 400 * time.Millisecond})
+		if got, _ := l.Choose(now, Request{Body: c.body, Left: 3 * time.Second}, cs); got.Domain != c.want {
+			t.Errorf("a body of %d bytes with %d requests waiting goes to %s", c.body, c.waiting, got.Domain)
+		}
+	}
+}
