--- a/internal/gate/entry/choose.go
+++ b/internal/gate/entry/choose.go
@@ -30,6 +30,9 @@
 	// the request is bound.
 	reasonEvacuated = "targets-evacuated"
 	reasonOutside   = "outside-home-regions"
+	// reasonCrossed states that the body has been sent to another region in vain, and would
+	// have to be sent to one again.
+	reasonCrossed = "body-crossed"
 )
 
 // chooseGroup returns the group for the next try. If there is none, it fails the request.
@@ -48,12 +51,12 @@
 	permitted := map[string]realm.Permitted[destination]{}
 	var cs []place.Candidate
 	for d, n := range slots {
-		if p, ok := q.permit(group.ID{Service: q.service.Name, FailureDomain: d}, d); ok {
+		if p, ok := q.permit(group.ID{Service: q.service.Name, FailureDomain: d}, d); ok && q.mayCross(p) {
 			permitted[d] = p
 			cs = append(cs, place.Candidate{Service: q.service.Name, Domain: d, Distance: e.distance(d), Slots: n})
 		}
 	}
-	b, ok := e.loads.Choose(clock.Boot(), cs)
+	b, ok := e.loads.Choose(clock.Boot(), place.Request{Objective: q.objective, Deadline: q.end, Body: len(q.message.Body)}, cs)
 	if !ok {
 		q.giveUp(q.whyNone(v.Services[q.service.Name]))
 		return realm.Permitted[destination]{}, false
@@ -68,6 +71,16 @@
 	return realm.Admit(q.realm, destination{id, at}, at.Region)
 }
 
+// maxRecrossing is the length in bytes up to which a body may be sent to other regions
+// more than once: headers and response together are about as long.
+const maxRecrossing = 4 << 10
+
+// mayCross reports whether the request may be sent to a destination: a body is sent to
+// another region once.
+func (q *request) mayCross(to realm.Permitted[destination]) bool {
+	return !q.crossed || len(q.message.Body) <= maxRecrossing || to.Value().at.Region == q.entry.Self.Region
+}
+
 // whyNone returns the reason for which none of the targets of a service may run the
 // request.
 func (q *request) whyNone(targets []*platform.Target) string {
@@ -134,8 +147,12 @@
 			if t := e.Views.View().Targets[n.Target]; t != nil && t.Born == n.Born && t.Open() {
 				e.clearMissing(n)
 				p, ok := q.permit(group.ID{Service: q.service.Name, Target: t.ID}, t.FailureDomain)
-				if !ok {
+				switch {
+				case !ok:
 					q.giveUp(reasonOutside)
+				case !q.mayCross(p):
+					q.giveUp(reasonCrossed)
+					return p, false
 				}
 				return p, ok
 			}
--- a/internal/gate/entry/choose_test.go
+++ b/internal/gate/entry/choose_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"testing"
 
+	"dandelionrock.example/dandelionrock/internal/gate/group"
 	"dandelionrock.example/dandelionrock/internal/plan/realm"
 	"dandelionrock.example/dandelionrock/internal/state/mirror"
 	"dandelionrock.example/dandelionrock/internal/state/view"
@@ -117,3 +118,22 @@
 		t.Error("an instance in an unknown region is permitted")
 	}
 }
+
+// A long body that another region has refused. Guards against sending it to a region again,
+// and against a refusal while the own region may run it.
+func TestBodyCrossesOnce(t *testing.T) {
+	e := newEntry(t, true)
+	e.SetRegions(testRegions)
+	e.Self.Region = "ra"
+	for domain, want := range map[string]bool{"a": true, "b": false} {
+		q := &request{entry: e, crossed: true, message: schema.SendRequest{Body: make([]byte, maxRecrossing+1)}}
+		to, _ := q.permit(group.ID{}, domain)
+		if got := q.mayCross(to); got != want {
+			t.Errorf("to %s: %v", domain, got)
+		}
+		q.message.Body = q.message.Body[1:]
+		if !q.mayCross(to) {
+			t.Errorf("a short body may not go to %s", domain)
+		}
+	}
+}
--- a/internal/gate/entry/request.go
+++ b/internal/gate/entry/request.go
@@ -70,6 +70,8 @@
 	// message is the message to the home.
 	message schema.SendRequest
 
+	// crossed is set once the request has been sent to another region.
+	crossed bool
 	// sent counts the tries that may have reached a target, unsent the others.
 	sent, unsent int
 	// ran is set once a target may have run the request.
--- a/internal/plan/place/place.go
+++ b/internal/plan/place/place.go
@@ -20,11 +20,40 @@
 	Far
 )
 
-// distancePenalty is the additional wait that is accepted before a request goes to
-// a more distant domain. Traffic between failure domains is charged, traffic between
-// regions about eight times as much, and a request that still ends in time gains
-// nothing from a shorter wait.
-var distancePenalty = [...]time.Duration{Same: 0, Region: 15 * time.Millisecond, Far: 120 * time.Millisecond}
+// regionPenalty is the additional wait that is accepted before a request goes to another
+// failure domain of its region.
+const regionPenalty = 15 * time.Millisecond
+
+// farPenalty is the additional wait that is accepted before a request goes to another
+// region, once for its headers and response and once for each penaltyBytes of its body.
+// Traffic between regions is charged.
+const (
+	farPenalty   = 120 * time.Millisecond
+	penaltyBytes = 4 << 10
+)
+
+// Request holds the properties of a request that the choice depends on.
+type Request struct {
+	// Objective is when its response becomes late, Deadline when it must have ended.
+	Objective, Deadline clock.Time
+	// Body is the length of its body in bytes.
+	Body int
+}
+
+// penalty returns the additional wait that is accepted before the request goes to a
+// domain at a distance, given the mean service time. A response in time gains nothing
+// from a shorter wait, so that up to half of the time to spare is spent on staying in the
+// region; the rest allows for wrong estimates.
+func (r Request) penalty(now clock.Time, d Distance, mean time.Duration) time.Duration {
+	switch d {
+	case Same:
+		return 0
+	case Region:
+		return regionPenalty
+	}
+	spare := r.Objective.Sub(now) - mean
+	return max(farPenalty*time.Duration(1+r.Body/penaltyBytes), spare/2)
+}
 
 // maxLoadAge is the age from which a reported load is ignored.
 const maxLoadAge = 1500 * time.Millisecond
@@ -86,16 +115,21 @@
 	}
 }
 
-// Choose returns the candidate with the lowest sum of expected wait and distance
-// penalty, and false if there are no candidates.
-func (l *Loads) Choose(now clock.Time, cs []Candidate) (Candidate, bool) {
+// Choose returns the candidate with the lowest sum of expected wait and distance penalty
+// for a request, and false if there are no candidates. Candidates that are not expected to
+// end the request before its deadline come last.
+func (l *Loads) Choose(now clock.Time, r Request, cs []Candidate) (Candidate, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var best Candidate
 	var bestCost time.Duration
 	found := false
 	for _, c := range cs {
-		cost := l.expectedWait(now, c) + distancePenalty[c.Distance]
+		wait, mean := l.expectedWait(now, c)
+		cost := wait + r.penalty(now, c.Distance, mean)
+		if now.Add(wait+mean) > r.Deadline {
+			cost += tooLate
+		}
 		if !found || cost < bestCost {
 			best, bestCost, found = c, cost, true
 		}
@@ -103,20 +137,23 @@
 	return best, found
 }
 
+// tooLate is more than any wait that is accepted.
+const tooLate = 24 * time.Hour
+
 // expectedWait returns the expected wait at a candidate: the longer of the wait
 // caused by this instance's own requests and the last reported one, which counts
-// less the older it is.
-func (l *Loads) expectedWait(now clock.Time, c Candidate) time.Duration {
+// less the older it is. It also returns the mean service time, 0 if that is not known.
+func (l *Loads) expectedWait(now clock.Time, c Candidate) (wait, mean time.Duration) {
 	r := l.groups[groupID{c.Service, c.Domain}]
 	if r == nil {
-		return 0
+		return 0, 0
 	}
 	own := r.load
 	own.Slots, own.Running, own.Waiting, own.Wait = c.Slots, r.sent, 0, 0
-	wait := own.Backlog()
+	wait = own.Backlog()
 	if age := now.Sub(r.at); age < maxLoadAge && r.at != 0 {
 		reported := time.Duration(float64(r.load.Backlog()) * (1 - float64(age)/float64(maxLoadAge)))
 		wait = max(wait, reported)
 	}
-	return wait
+	return wait, r.load.Mean
 }
--- a/internal/plan/place/place_test.go
+++ b/internal/plan/place/place_test.go
@@ -8,8 +8,10 @@
 	"dandelionrock.example/dandelionrock/internal/plan/pool"
 )
 
-// Guards against requests that needlessly leave their failure domain or region, and
-// against those that stay although the wait is longer than the penalty.
+// Requests of several lengths and times to spare, beside full groups. Guards against
+// requests that leave their failure domain or region although they end in time there,
+// against those that stay although they would be late, and against long bodies that are
+// sent to another region for a short gain.
 func TestChoose(t *testing.T) {
 	cs := []Candidate{{"s", "far", Far, 4}, {"s", "region", Region, 4}, {"s", "same", Same, 4}}
 	load := func(waiting int) *pool.Load {
@@ -18,12 +20,18 @@
 	for _, c := range []struct {
 		name         string
 		same, region *pool.Load
-		want         string
+		// objective and deadline are in milliseconds.
+		objective, deadline, body int
+		want                      string
 	}{
-		{"nothing known", nil, nil, "same"},
-		{"own domain full", load(0), nil, "region"},
-		{"region full", load(8), load(8), "far"},
-		{"short waits everywhere", load(0), load(0), "same"},
+		{"nothing known", nil, nil, 800, 2000, 0, "same"},
+		{"own domain full", load(0), nil, 800, 2000, 0, "region"},
+		{"region full", load(8), load(8), 800, 2000, 0, "far"},
+		{"short waits everywhere", load(0), load(0), 800, 2000, 0, "same"},
+		{"time to spare", load(8), load(8), 3000, 5000, 0, "same"},
+		{"late already", load(8), load(8), -1, 5000, 0, "far"},
+		{"late with a long body", load(8), load(8), -1, 5000, 60 << 10, "same"},
+		{"lost with a long body", load(8), load(8), -1, 500, 60 << 10, "far"},
 	} {
 		var l Loads
 		now := clock.Time(time.Hour)
@@ -33,7 +41,8 @@
 				l.End(now, "s", d, v)
 			}
 		}
-		if got, ok := l.Choose(now, cs); !ok || got.Domain != c.want {
+		after := func(ms int) clock.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+		if got, ok := l.Choose(now, Request{after(c.objective), after(c.deadline), c.body}, cs); !ok || got.Domain != c.want {
 			t.Errorf("%s: Choose() = %+v, want %s", c.name, got, c.want)
 		}
 	}
@@ -46,7 +55,7 @@
 	l.Begin("s", "same")
 	l.End(now, "s", "same", &pool.Load{Slots: 2, Running: 2, Waiting: 20, Mean: time.Second})
 	cs := []Candidate{{"s", "same", Same, 2}, {"s", "far", Far, 2}}
-	if got, _ := l.Choose(now.Add(2*maxLoadAge), cs); got.Domain != "same" {
+	if got, _ := l.Choose(now.Add(2*maxLoadAge), Request{Deadline: now.Add(time.Hour)}, cs); got.Domain != "same" {
 		t.Errorf("Choose() = %+v", got)
 	}
 }
