--- a/internal/gate/entry/call.go
+++ b/internal/gate/entry/call.go
@@ -37,8 +37,9 @@
 	if !q.ran {
 		e.beginCall(m.Call, i)
 	}
-	err := e.call(c, h, q.account, m, a)
+	sent, err := e.call(c, h, q.account, m, a)
 	e.endCall(m.Call)
+	q.crossed = q.crossed || i.Region != e.Self.Region && sent && !errors.Is(err, relay.ErrNotSent)
 	if err == nil && group.Unavailable(a.Reason) && e.Alive.Suspect(i) {
 		e.Log.Info().Str("event", "instance-unavailable").Str("peer", i.ID).Str("reason", a.Reason).Str("request", m.AttemptId).Msg("")
 	}
@@ -87,11 +88,11 @@
 }
 
 // call calls a home. If the client disconnects, it withdraws the request from the
-// home.
-func (e *Entry) call(c context.Context, h realm.Permitted[peer.Instance], t depot.Account, m *schema.SendRequest, a *schema.SendReply) error {
+// home. It reports whether the body may have been sent to another instance.
+func (e *Entry) call(c context.Context, h realm.Permitted[peer.Instance], t depot.Account, m *schema.SendRequest, a *schema.SendReply) (sent bool, err error) {
 	i := h.Value()
 	if i.ID == e.Self.ID {
-		return e.callSelf(c, m, a)
+		return false, e.callSelf(c, m, a)
 	}
 	// The home ends the request at its deadline; the reply arrives a little later.
 	d, stop := context.WithTimeout(context.WithoutCancel(c), time.Duration(m.LeftMs)*time.Millisecond+homeMargin)
@@ -103,11 +104,11 @@
 		}
 	})
 	defer unhook()
-	err := e.callHome(d, h, t, m, a)
+	sent, err = e.callHome(d, h, t, m, a)
 	if err != nil && c.Err() == nil && !errors.Is(err, relay.ErrTooLarge) && e.Alive.Suspect(i) {
 		e.Log.Warn().Str("event", "instance-suspected").Str("instance", i.ID).Str("call", "send").Str("request", m.AttemptId).Err(err).Msg("")
 	}
-	return err
+	return sent, err
 }
 
 // callSelf is like call if this instance is the home.
--- a/internal/gate/entry/pieces.go
+++ b/internal/gate/entry/pieces.go
@@ -60,33 +60,34 @@
 	}
 }
 
-// callHome calls Gate.Send of another instance. A large body is sent ahead in pieces.
-func (e *Entry) callHome(c context.Context, h realm.Permitted[peer.Instance], t depot.Account, m *schema.SendRequest, a *schema.SendReply) error {
+// callHome calls Gate.Send of another instance. A large body is sent ahead in pieces. It
+// reports whether the body, or a part of it, was sent.
+func (e *Entry) callHome(c context.Context, h realm.Permitted[peer.Instance], t depot.Account, m *schema.SendRequest, a *schema.SendReply) (sent bool, err error) {
 	i := h.Value()
 	if refused, err := e.preview(c, i, m, a); refused || err != nil {
-		return err
+		return false, err
 	}
 	if len(m.Body) <= maxWhole {
-		return e.Pool.Call(c, i.RPCAddress, "Gate.Send", m, a)
+		return true, e.Pool.Call(c, i.RPCAddress, "Gate.Send", m, a)
 	}
 	begin := clock.Boot()
 	var unknown rpc.ServerError
 	switch err := e.sendPieces(c, h, t, m); {
 	case errors.As(err, &unknown):
 		// An instance of an earlier version takes a body only within its request.
-		return e.Pool.Call(c, i.RPCAddress, "Gate.Send", m, a)
+		return true, e.Pool.Call(c, i.RPCAddress, "Gate.Send", m, a)
 	case errors.Is(err, depot.ErrFull):
 		e.withdraw(i, m.Call)
 		a.Outcome, a.Reason, a.RetryMs = schema.SendOutcome_SEND_OUTCOME_REFUSED, reasonBodiesFull, retryAfterBodiesFull.Milliseconds()
-		return nil
+		return true, nil
 	case err != nil:
 		e.withdraw(i, m.Call)
-		return errors.Mark(err, relay.ErrNotSent)
+		return true, errors.Mark(err, relay.ErrNotSent)
 	}
 	body, took := m.Body, clock.Boot().Sub(begin).Milliseconds()
 	m.Body, m.LeftMs, m.ObjectiveMs = nil, m.LeftMs-took, m.ObjectiveMs-took
 	defer func() { m.Body = body }()
-	return e.Pool.Call(c, i.RPCAddress, "Gate.SendStored", &schema.SendStoredRequest{Request: m, Length: int64(len(body))}, a)
+	return true, e.Pool.Call(c, i.RPCAddress, "Gate.SendStored", &schema.SendStoredRequest{Request: m, Length: int64(len(body))}, a)
 }
 
 // preview asks a home whether it would refuse a request with a large body. It reports
--- a/internal/gate/entry/pieces_test.go
+++ b/internal/gate/entry/pieces_test.go
@@ -67,7 +67,7 @@
 		for range bodies {
 			g.Go(func() {
 				m := &schema.SendRequest{Call: e.calls.Add(1), LeftMs: 5000, Body: bytes.Repeat([]byte("x"), length)}
-				if err := e.callHome(t.Context(), realm.Reached(peer.Instance{ID: name, RPCAddress: l.Addr().String()}), 1, m, &schema.SendReply{}); err != nil || len(m.Body) != length {
+				if _, err := e.callHome(t.Context(), realm.Reached(peer.Instance{ID: name, RPCAddress: l.Addr().String()}), 1, m, &schema.SendReply{}); err != nil || len(m.Body) != length {
 					t.Errorf("%s home: %v, a body of %d bytes is left", name, err, len(m.Body))
 				}
 			})
@@ -116,8 +116,8 @@
 	defer e.Pool.Close()
 	for _, length := range []int{minPreviewed, maxWhole + 1} {
 		m, a := &schema.SendRequest{Call: e.calls.Add(1), LeftMs: 5000, ObjectiveMs: 5000, Body: make([]byte, length)}, &schema.SendReply{}
-		err := e.callHome(t.Context(), realm.Reached(peer.Instance{ID: "full", RPCAddress: l.Addr().String()}), 1, m, a)
-		if err != nil || a.Outcome != schema.SendOutcome_SEND_OUTCOME_REFUSED || a.RetryMs != 200 || len(m.Body) != length {
+		sent, err := e.callHome(t.Context(), realm.Reached(peer.Instance{ID: "full", RPCAddress: l.Addr().String()}), 1, m, a)
+		if err != nil || sent || a.Outcome != schema.SendOutcome_SEND_OUTCOME_REFUSED || a.RetryMs != 200 || len(m.Body) != length {
 			t.Errorf("a body of %d bytes: %v, %v, %d bytes are left", length, a, err, len(m.Body))
 		}
 	}
--- a/internal/plan/place/place.go
+++ b/internal/plan/place/place.go
@@ -20,33 +20,39 @@
 	Far
 )
 
-// distancePenalty is the additional wait that is accepted before a request goes to
-// a more distant domain. Traffic between failure domains is charged, traffic between
-// regions about eight times as much, and a request that still ends in time gains
-// nothing from a shorter wait.
-var distancePenalty = [...]time.Duration{Same: 0, Region: 15 * time.Millisecond, Far: 120 * time.Millisecond}
+// regionPenalty is the additional wait that is accepted before a request goes to another
+// failure domain of its region.
+const regionPenalty = 15 * time.Millisecond
 
-// largeBody is the length in bytes from which the body of a request outweighs all else that
-// it sends over the border of a region.
-const largeBody = 16 << 10
+// farPenalty is the additional wait that is accepted before a request goes to another
+// region, once for its headers and response and once for each penaltyBytes of its body.
+// Traffic between regions is charged.
+const (
+	farPenalty   = 120 * time.Millisecond
+	penaltyBytes = 4 << 10
+)
 
-// Request holds the properties of a request that its place depends on.
+// Request holds the properties of a request that the choice depends on.
 type Request struct {
+	// Objective is when its response becomes late, Deadline when it must have ended.
+	Objective, Deadline clock.Time
 	// Body is the length of its body in bytes.
 	Body int
-	// Left is the time that is left of its latency objective.
-	Left time.Duration
 }
 
-// penalty returns the additional wait that is accepted before a request with the given
-// mean service time goes to a place at a distance. One with a large body stays in its region
-// for half of the time that it has to spare.
-func (r Request) penalty(d Distance, mean time.Duration) time.Duration {
-	p := distancePenalty[d]
-	if d == Far && r.Body >= largeBody {
-		p = max(p, (r.Left-mean)/2)
+// penalty returns the additional wait that is accepted before the request goes to a
+// domain at a distance, given the mean service time. A response in time gains nothing
+// from a shorter wait, so that up to half of the time to spare is spent on staying in the
+// region; the rest allows for wrong estimates.
+func (r Request) penalty(now clock.Time, d Distance, mean time.Duration) time.Duration {
+	switch d {
+	case Same:
+		return 0
+	case Region:
+		return regionPenalty
 	}
-	return p
+	spare := r.Objective.Sub(now) - mean
+	return max(farPenalty*time.Duration(1+r.Body/penaltyBytes), spare/2)
 }
 
 // maxLoadAge is the age from which a reported load is ignored.
@@ -109,8 +115,9 @@
 	}
 }
 
-// Choose returns the candidate with the lowest sum of expected wait and distance
-// penalty, and false if there are no candidates.
+// Choose returns the candidate with the lowest sum of expected wait and distance penalty
+// for a request, and false if there are no candidates. Candidates that are not expected to
+// end the request before its deadline come last.
 func (l *Loads) Choose(now clock.Time, r Request, cs []Candidate) (Candidate, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -119,7 +126,10 @@
 	found := false
 	for _, c := range cs {
 		wait, mean := l.expectedWait(now, c)
-		cost := wait + r.penalty(c.Distance, mean)
+		cost := wait + r.penalty(now, c.Distance, mean)
+		if now.Add(wait+mean) > r.Deadline {
+			cost += tooLate
+		}
 		if !found || cost < bestCost {
 			best, bestCost, found = c, cost, true
 		}
@@ -127,10 +137,12 @@
 	return best, found
 }
 
-// expectedWait returns the expected wait at a candidate and the mean service time there.
-// The wait is the longer of the wait
+// tooLate is more than any wait that is accepted.
+const tooLate = 24 * time.Hour
+
+// expectedWait returns the expected wait at a candidate: the longer of the wait
 // caused by this instance's own requests and the last reported one, which counts
-// less the older it is.
+// less the older it is. It also returns the mean service time, 0 if that is not known.
 func (l *Loads) expectedWait(now clock.Time, c Candidate) (wait, mean time.Duration) {
 	r := l.groups[groupID{c.Service, c.Domain}]
 	if r == nil {
@@ -143,5 +155,5 @@
 		reported := time.Duration(float64(r.load.Backlog()) * (1 - float64(age)/float64(maxLoadAge)))
 		wait = max(wait, reported)
 	}
-	return wait, own.Mean
+	return wait, r.load.Mean
 }
