keeper, keys, platform: keys that become free first are moved first

Cause: a series of moves was committed when the last of its targets had released its keys, and the parts of one target were released one after another.

Announcements that arrive ahead of an earlier one wait for it, and keys that are still being moved stay marked so when others have moved.

--- a/internal/gate/keeper/era_test.go
+++ b/internal/gate/keeper/era_test.go
@@ -27,7 +27,7 @@
 func (f *fixture) moveLowerHalf() {
 	f.startMoves(context.Background(), f.lowerHalfToB())
 	f.await("the keys have moved", func() bool { return f.serves("b", 5) })
-	f.await("the moves have ended", func() bool { f.mu.Lock(); defer f.mu.Unlock(); return !f.moving })
+	f.await("the moves have ended", func() bool { f.mu.Lock(); defer f.mu.Unlock(); return f.changes == 0 && len(f.paused) == 0 })
 }
 
 // Guards against moves that are undone when the store has lost them: the keeper goes on
--- a/internal/gate/keeper/fence.go
+++ b/internal/gate/keeper/fence.go
@@ -101,25 +101,27 @@
 func (k *Keeper) rewrite(c context.Context, now clock.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.row == nil || k.moving {
-		return
-	}
-	if k.fenceRefused && now.Sub(k.confirmed) <= authority || k.eraSettled(now) {
+	if k.row != nil && !k.rewriting && k.changes == 0 && len(k.paused) == 0 && k.rewriteDue(now) {
 		k.raiseAllFences(c)
 	}
 }
 
+// rewriteDue reports whether all fences are to be raised. The caller holds mu.
+func (k *Keeper) rewriteDue(now clock.Time) bool {
+	return k.fenceRefused && now.Sub(k.confirmed) <= authority || k.eraSettled(now)
+}
+
 // raiseAllFences writes the assignment with a new epoch. The caller holds mu.
 func (k *Keeper) raiseAllFences(c context.Context) {
-	k.moving, k.fenceRefused = true, false
+	k.rewriting, k.fenceRefused = true, false
 	t := k.newChange()
 	era := k.era
 	k.run(func() {
-		defer k.endChange(t.takeover)
+		defer k.endRewrite(t.takeover)
 		t.row.Epoch = nextEpoch(t.row.Epoch, era)
 		t.row.Ranges = keys.Ranges(t.row.Ranges).Refence(firstFence(t.row.Epoch))
 		n, sent, err := k.commit(c, t.row, t.old, unlimitedRefusals)
-		if err != nil || !k.applyChange(t, n, sent) {
+		if err != nil || !k.applyChange(t, n, sent, t.row.Ranges) {
 			k.log.Warn().Str("event", "refence-failed").Uint64("epoch", t.row.Epoch).Err(err).Msg("")
 			return
 		}
@@ -128,6 +130,15 @@
 	})
 }
 
+// endRewrite ends the write of all fences, if it belongs to the given takeover.
+func (k *Keeper) endRewrite(takeover int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.takeovers == takeover {
+		k.rewriting = false
+	}
+}
+
 // renewNow makes the renewals of all grants due.
 func (k *Keeper) renewNow() {
 	k.mu.Lock()
--- a/internal/gate/keeper/keeper.go
+++ b/internal/gate/keeper/keeper.go
@@ -88,6 +88,9 @@
 	cancel context.CancelFunc
 	group  sync.WaitGroup
 
+	// commitMu is held during a write of the row for moves. It is taken before mu.
+	commitMu sync.Mutex
+
 	mu sync.Mutex
 	// row is the assignment that this instance wrote last; nil unless it is the
 	// keeper.
@@ -109,11 +112,13 @@
 	grantStates map[string]*grantState
 	// planning is set while moves are planned, without mu.
 	planning bool
-	// moving is set while a change of the assignment is in progress. paused
-	// holds the ranges that it moves: a range that overlaps any of them is not
-	// renewed meanwhile, even after the range was split.
-	moving bool
-	paused []*schema.KeyRange
+	// changes counts the changes of the assignment that are in progress. paused
+	// holds their moves: a range that overlaps any of them is not renewed meanwhile,
+	// even after the range was split, and does not move again.
+	changes int
+	paused  []keys.Move
+	// rewriting is set while all fences are raised, and no other change is in progress.
+	rewriting bool
 	// writeNonce is the nonce of the write in progress.
 	writeNonce uint64
 	// raisedFences counts the fences raised since the row was last written.
--- a/internal/gate/keeper/keeper_test.go
+++ b/internal/gate/keeper/keeper_test.go
@@ -19,7 +19,7 @@
 	}
 	k := &Keeper{log: zerolog.Nop(), takeovers: 1, row: &schema.KeyMap{Epoch: 1, Ranges: keys.Ranges{whole}}, confirmed: clock.Boot()}
 	first, second := part(120, 139), part(160, 179)
-	k.paused = []*schema.KeyRange{first, second}
+	k.paused = []keys.Move{{Range: first}, {Range: second}}
 	if k.mayRenew(whole) {
 		t.Error("the range is renewed while parts of it move")
 	}
--- a/internal/gate/keeper/move.go
+++ b/internal/gate/keeper/move.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -12,7 +11,6 @@
 	"dandelionrock.example/dandelionrock/platform"
 	"dandelionrock.example/dandelionrock/schema"
 	"github.com/cockroachdb/errors"
-	"google.golang.org/protobuf/proto"
 )
 
 // AddLoad adds the counts of requests that an instance reports.
@@ -39,27 +37,45 @@
 // assignment is what a plan is based on.
 type assignment struct {
 	takeover int
-	epoch    uint64
-	ranges   keys.Ranges
-	members  []keys.Member
-	rates    *keys.Rates
+	// ranges holds the keys that may move, and coming those that are being moved, with
+	// their next owners.
+	ranges, coming keys.Ranges
+	members        []keys.Member
+	rates          *keys.Rates
 }
 
-// move starts to plan the moves that are due, unless a plan or a change is in progress.
+// assignment returns the present assignment. The caller holds mu.
+func (k *Keeper) assignment(now clock.Time, m []keys.Member) assignment {
+	a := assignment{takeover: k.takeovers, ranges: k.row.Ranges, members: m}
+	for _, p := range k.paused {
+		a.ranges = a.ranges.Without(p.Range.From, p.Range.To)
+		a.coming = append(a.coming, &schema.KeyRange{From: p.Range.From, To: p.Range.To, Target: p.Target, Born: p.Born, Fence: p.Range.Fence})
+	}
+	a.rates = k.load.Rates(now)
+	return a
+}
+
+// move starts to plan the moves that are due, unless a plan or too many changes are in
+// progress.
 // It doesn't wait for the plan, so that renewals don't depend on it.
 func (k *Keeper) move(c context.Context, now clock.Time, v *view.View) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.row == nil || k.moving || k.planning {
+	if k.row == nil || k.rewriting || k.rewriteDue(now) || k.planning || k.changes >= maxChanges {
 		return
 	}
 	m := k.members(now, v)
-	owned, balance := keys.Owned(k.row.Ranges, m), now.Sub(k.rebalancedAt) >= rebalanceInterval && k.syncer.Age() < maxFreshAge
+	ranges := k.row.Ranges
+	for _, p := range k.paused {
+		ranges = keys.Ranges(ranges).Without(p.Range.From, p.Range.To)
+	}
+	owned := len(ranges) == 0 && len(k.paused) > 0 || keys.Owned(ranges, m)
+	balance := now.Sub(k.rebalancedAt) >= rebalanceInterval && k.syncer.Age() < maxFreshAge
 	if owned && (!balance || !k.storeAnswers(c, now)) {
 		return
 	}
 	k.planning = true
-	a := assignment{k.takeovers, k.row.Epoch, k.row.Ranges, m, k.load.Rates(now)}
+	a := k.assignment(now, m)
 	k.run(func() {
 		defer k.endPlan()
 		if !owned && k.reassign(c, now, v, a) {
@@ -107,64 +123,6 @@
 	k.startChange(c, v, a, moves, whyBalance)
 }
 
-// startChange starts a series of moves, unless there are none or the assignment that they
-// were planned for has changed. It reports whether it did. The caller holds mu.
-func (k *Keeper) startChange(c context.Context, v *view.View, a assignment, moves []keys.Move, why string) bool {
-	if len(moves) == 0 || k.row == nil || k.moving || k.takeovers != a.takeover || k.row.Epoch != a.epoch {
-		return false
-	}
-	k.moving = true
-	t := k.newChange()
-	for _, n := range moves {
-		k.paused = append(k.paused, n.Range)
-	}
-	k.run(func() { k.moveAll(c, v, t, moves, why) })
-	return true
-}
-
-// change is the state of the assignment at the start of a change.
-type change struct {
-	takeover int
-	// row is the assignment to write, and old the one that it replaces.
-	row *schema.KeyMap
-	old stored
-}
-
-// newChange returns a change of the present assignment. The caller holds mu.
-func (k *Keeper) newChange() change {
-	return change{k.takeovers, proto.CloneOf(k.row), storedAs(k.row, k.version)}
-}
-
-// applyChange makes a committed change the state of the keeper. It reports
-// false if the instance has stepped down or become the keeper anew since the
-// change began.
-func (k *Keeper) applyChange(t change, version platform.Version, sent clock.Time) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.row == nil || k.takeovers != t.takeover {
-		return false
-	}
-	succeeded := version.Era() > t.old.version.Era() && k.mayHaveSuccessor(clock.Boot())
-	k.row, k.version, k.confirmed, k.raisedFences = t.row, version, max(k.confirmed, sent), 0
-	if succeeded {
-		k.awaitGrants(clock.Boot())
-	}
-	return true
-}
-
-// refreshFences copies the fences that were raised since a change began into
-// it. It reports false if the instance has stepped down or become the keeper
-// anew since.
-func (k *Keeper) refreshFences(t change) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.row == nil || k.takeovers != t.takeover {
-		return false
-	}
-	t.row.Ranges = proto.CloneOf(k.row).Ranges
-	return true
-}
-
 // Reasons of moves, as logged.
 const (
 	whyOwnerLeft = "owner-left"
@@ -176,12 +134,6 @@
 // commit may take long.
 const maxFreshAge = 2 * time.Second
 
-// isPaused reports whether any key of a range is being moved. The caller holds
-// mu.
-func (k *Keeper) isPaused(r *schema.KeyRange) bool {
-	return slices.ContainsFunc(k.paused, func(p *schema.KeyRange) bool { return p.To >= r.From && p.From <= r.To })
-}
-
 // readyMoves returns the moves that can start now: those whose owners are live
 // and due for a release, or can't hold their keys any more. If there are none,
 // it returns those whose owners are gone from the store but may still be
@@ -247,78 +199,6 @@
 	goneReleaseInterval = 3 * time.Second
 )
 
-// moveAll releases the keys of a series of moves, commits their new owners and
-// grants the keys to them.
-func (k *Keeper) moveAll(c context.Context, v *view.View, t change, moves []keys.Move, why string) {
-	defer k.endChange(t.takeover)
-	begin, row := clock.Boot(), t.row
-	var ranges []*schema.KeyRange
-	for _, m := range moves {
-		ranges = append(ranges, m.Range)
-	}
-	k.announce(c, v, &schema.KeysRequest{Service: k.service, Epoch: row.Epoch, Ranges: ranges, Moving: true})
-	handovers := k.releaseAll(c, v, t.takeover, moves)
-	if !k.refreshFences(t) {
-		return
-	}
-	row.Epoch++
-	changed, handoverTexts := assignFreed(row.Epoch, moves, handovers)
-	if len(changed) == 0 {
-		return
-	}
-	row.Ranges = keys.Ranges(row.Ranges).Replace(changed...)
-	maxRefusals := unlimitedRefusals
-	if why == whyBalance {
-		maxRefusals = maxBalanceRefusals
-	}
-	version, sent, err := k.commit(c, row, t.old, maxRefusals)
-	if errors.Is(err, platform.ErrRefused) {
-		k.regrantReleased(c, v, t, moves, handovers)
-	}
-	if err != nil || !k.applyChange(t, version, sent) {
-		k.log.Warn().Str("event", "move-failed").Uint64("epoch", row.Epoch).Str("why", why).Int("ranges", len(changed)).Err(err).Msg("")
-		return
-	}
-	k.grantAll(c, v, changed, handoverTexts)
-	k.announce(c, v, &schema.KeysRequest{Service: k.service, Epoch: row.Epoch, Ranges: changed})
-	n, took := countKeys(changed), clock.Boot().Sub(begin)
-	k.meter.KeysMoved(k.service, why, n, took)
-	k.log.Info().Str("event", "keys-moved").Uint64("epoch", row.Epoch).Str("why", why).Int("ranges", len(changed)).
-		Int("keys", n).Dur("took", took).Msg("")
-}
-
-// assignFreed returns the ranges that became free with their new owners, and the
-// handover text for each of them.
-func assignFreed(epoch uint64, moves []keys.Move, hs []handover) ([]*schema.KeyRange, []string) {
-	var rs []*schema.KeyRange
-	var handoverTexts []string
-	for i, m := range moves {
-		if hs[i].freedBy != "" {
-			rs = append(rs, &schema.KeyRange{From: m.Range.From, To: m.Range.To, Target: m.Target, Born: m.Born, Fence: firstFence(epoch)})
-			handoverTexts = append(handoverTexts, hs[i].text)
-		}
-	}
-	return rs, handoverTexts
-}
-
-func countKeys(rs []*schema.KeyRange) int {
-	n := 0
-	for _, r := range rs {
-		n += int(r.To-r.From) + 1
-	}
-	return n
-}
-
-// endChange ends the change in progress, if it belongs to the given takeover.
-func (k *Keeper) endChange(takeover int) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.takeovers == takeover {
-		k.moving = false
-		k.paused = nil
-	}
-}
-
 // grantAll grants ranges to their new owners. A grant that fails is left to the
 // renewals.
 func (k *Keeper) grantAll(c context.Context, v *view.View, rs []*schema.KeyRange, handovers []string) {
--- a/internal/gate/keeper/move_test.go
+++ b/internal/gate/keeper/move_test.go
@@ -131,17 +131,19 @@
 // target b.
 func (f *fixture) lowerHalfToB() keys.Move {
 	a, b := f.syncer.View().Targets["a"], f.syncer.View().Targets["b"]
-	r := &schema.KeyRange{To: platform.MaxKey / 2, Target: "a", Born: a.Born, Fence: firstFence(1)}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := &schema.KeyRange{To: platform.MaxKey / 2, Target: "a", Born: a.Born, Fence: keys.Ranges(f.row.Ranges).Find(0).Fence}
 	return keys.Move{Range: r, Target: "b", Born: b.Born}
 }
 
 // startMoves starts a series of moves for balance, as Keeper.move does.
 func (f *fixture) startMoves(c context.Context, m keys.Move) {
 	f.mu.Lock()
-	f.moving, f.paused = true, []*schema.KeyRange{m.Range}
-	t := f.newChange()
-	f.mu.Unlock()
-	f.group.Go(func() { f.moveAll(c, f.syncer.View(), t, []keys.Move{m}, whyBalance) })
+	defer f.mu.Unlock()
+	if !f.startChange(c, f.syncer.View(), f.assignment(clock.Boot(), nil), []keys.Move{m}, whyBalance) {
+		f.t.Fatal("the moves are not started")
+	}
 }
 
 // Guards against keys that stay out of service while the store refuses all
@@ -151,7 +153,7 @@
 	f := newFixture(t)
 	f.fakeStore.SetFault(fake.Unavailable, nil)
 	f.startMoves(context.Background(), f.lowerHalfToB())
-	f.await("the moves have ended", func() bool { f.mu.Lock(); defer f.mu.Unlock(); return !f.moving })
+	f.await("the moves have ended", func() bool { f.mu.Lock(); defer f.mu.Unlock(); return f.changes == 0 && len(f.paused) == 0 })
 	if !f.serves("a", 5) {
 		t.Error("the former owner does not serve keys whose move was abandoned")
 	}
--- a/internal/gate/keeper/release.go
+++ b/internal/gate/keeper/release.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
-	"sync"
+	"iter"
+	"slices"
+	"time"
 
 	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/internal/plan/keys"
@@ -21,14 +23,35 @@
 	freedBy string
 }
 
-func (k *Keeper) releaseAll(c context.Context, v *view.View, takeover int, moves []keys.Move) []handover {
-	out := make([]handover, len(moves))
-	var g sync.WaitGroup
-	for i, m := range moves {
-		g.Go(func() { k.guard.Once("keeper", func() { out[i] = k.release(c, v, takeover, m) }) })
+// releaseAll releases the keys of moves. It yields those that became free, or failed to,
+// in the order in which they did so.
+func (k *Keeper) releaseAll(c context.Context, v *view.View, takeover int, moves []keys.Move) iter.Seq[[]freedMove] {
+	freed := make(chan freedMove, len(moves))
+	for _, m := range moves {
+		k.run(func() {
+			n := freedMove{Move: m}
+			defer func() { freed <- n }()
+			n.handover = k.release(c, v, takeover, m)
+		})
+	}
+	return func(yield func([]freedMove) bool) {
+		for left := len(moves); left > 0; {
+			b := []freedMove{<-freed}
+			for end := time.After(commitDelay); len(b) < left; {
+				select {
+				case m := <-freed:
+					b = append(b, m)
+					continue
+				case <-end:
+				}
+				break
+			}
+			left -= len(b)
+			if !yield(b) {
+				return
+			}
+		}
 	}
-	g.Wait()
-	return out
 }
 
 // How a range became free, as logged.
@@ -66,9 +89,13 @@
 	}
 	c, stop := context.WithTimeout(c, limit)
 	defer stop()
-	h.callMu.Lock()
-	defer h.callMu.Unlock()
-	n, err := k.raiseFence(c, takeover, h, t, r, d)
+	n, err := func() (*schema.KeyRange, error) {
+		// The renewals in progress have ended once the lock is taken, and later ones leave
+		// out the range. The release doesn't hold up those of the target's other ranges.
+		h.callMu.Lock()
+		defer h.callMu.Unlock()
+		return k.raiseFence(c, takeover, h, t, r, d)
+	}()
 	if errors.Is(err, platform.ErrReplaced) {
 		return k.logFreed(r, freedByReplacement, "")
 	}
@@ -93,29 +120,24 @@
 	return handover{text, freedBy}
 }
 
-// maxBalanceRefusals is the number of times that the store may refuse the write
-// of moves for balance before they are given up. A store that is only busy
-// accepts the second attempt.
-const maxBalanceRefusals = 2
+// maxMoveRefusals is the number of times that the store may refuse the write of moves before
+// those for balance are given up. A store that is only busy accepts the second attempt.
+const maxMoveRefusals = 2
 
 // regrantReleased grants released keys to their former owners again, after the
-// store has refused the write of t.row, so that it was not applied. A grant
+// store has refused the write of their moves, so that it was not applied. A grant
 // that fails is left to the renewals.
-func (k *Keeper) regrantReleased(c context.Context, v *view.View, t change, moves []keys.Move, hs []handover) {
-	var released []*schema.KeyRange
-	var handoverTexts []string
-	for i, m := range moves {
-		if hs[i].freedBy == freedByRelease {
-			released = append(released, m.Range)
-			handoverTexts = append(handoverTexts, hs[i].text)
-		}
+func (k *Keeper) regrantReleased(c context.Context, v *view.View, takeover int, freed []freedMove) {
+	released := slices.DeleteFunc(slices.Clone(freed), func(m freedMove) bool { return m.freedBy != freedByRelease })
+	var rs []*schema.KeyRange
+	for _, m := range released {
+		rs = append(rs, m.Range)
 	}
-	k.forEachOwner(v, released, func(i int, h *grantState, target *platform.Target) {
-		if _, err := k.grantHigher(c, t.takeover, h, target, released[i], k.hold, handoverTexts[i]); err != nil {
-			k.logFailedCall("give-back-failed", released[i], err)
+	k.forEachOwner(v, rs, func(i int, h *grantState, target *platform.Target) {
+		if _, err := k.grantHigher(c, takeover, h, target, rs[i], k.hold, released[i].text); err != nil {
+			k.logFailedCall("give-back-failed", rs[i], err)
 		}
 	})
-	epoch := t.row.Epoch - 1
-	k.announce(c, v, &schema.KeysRequest{Service: k.service, Epoch: epoch, Ranges: released})
-	k.log.Info().Str("event", "keys-given-back").Uint64("epoch", epoch).Int("ranges", len(released)).Int("keys", countKeys(released)).Msg("")
+	k.announce(c, v, &schema.KeysRequest{Service: k.service, Ranges: rs})
+	k.log.Info().Str("event", "keys-given-back").Int("ranges", len(rs)).Int("keys", countKeys(rs)).Msg("")
 }
--- a/internal/gate/keeper/watch.go
+++ b/internal/gate/keeper/watch.go
@@ -250,7 +250,7 @@
 	k.takeovers++
 	k.row, k.version, k.confirmed = proto.CloneOf(n), version, sent
 	k.grantStates, k.paused = map[string]*grantState{}, nil
-	k.moving, k.fenceRefused, k.raisedFences = false, false, 0
+	k.changes, k.rewriting, k.fenceRefused, k.raisedFences = 0, false, false, 0
 	k.predecessorEnd, k.predecessor = now, ""
 	if m.Keeper != "" {
 		k.predecessorEnd = now.Add(hold.LongestInFlight(k.hold))
--- a/internal/plan/keys/owner.go
+++ b/internal/plan/keys/owner.go
@@ -25,12 +25,21 @@
 	epoch  uint64
 	ranges Ranges
 	moving []moving
+	// ahead holds the announced changes of epochs whose predecessor is not known yet:
+	// announcements may arrive in another order than they were sent in.
+	ahead map[uint64]Ranges
 	// changed is closed and replaced when the assignment changes.
 	changed chan struct{}
 }
 
+// maxAhead bounds the announced changes that wait for an earlier one.
+const maxAhead = 32
+
 // moving is a range of keys that is being moved.
 type moving struct {
+	// owner holds the range with the owner that it is moved away from; nil if that is
+	// not known.
+	owner    *schema.KeyRange
 	from, to uint32
 	until    clock.Time
 }
@@ -61,33 +70,67 @@
 	if epoch <= s.epoch {
 		return
 	}
-	s.epoch, s.ranges, s.moving = epoch, r, nil
+	s.epoch, s.ranges = epoch, r
+	s.settle()
+}
+
+// settle applies the changes whose turn has come, ends the moves of ranges that have
+// another owner now, and notifies those who wait for owners.
+func (s *owners) settle() {
+	for {
+		r, ok := s.ahead[s.epoch+1]
+		if !ok {
+			break
+		}
+		s.epoch, s.ranges = s.epoch+1, s.ranges.Replace(r...)
+	}
+	for e := range s.ahead {
+		if e <= s.epoch {
+			delete(s.ahead, e)
+		}
+	}
+	s.moving = slices.DeleteFunc(s.moving, func(m moving) bool {
+		r := s.ranges.Find(m.from)
+		return m.owner == nil || r == nil || r.Target != m.owner.Target || r.Born != m.owner.Born
+	})
 	s.notify()
 }
 
-// Update applies an announcement of a service's keeper. With the known epoch, it
-// starts a move or, if Moving is false, cancels it: the ranges stay with their
-// owners. With the next epoch, it assigns the ranges to new owners. All other
-// announcements are ignored; Adopt follows with the whole assignment.
+// Update applies an announcement of a service's keeper: a move begins, or is cancelled if
+// Moving is false and the epoch 0, so that the ranges stay with their owners. Otherwise the
+// ranges have new owners from the epoch on. A change waits for those of the epochs before
+// it, or for Adopt, which follows with the whole assignment.
 func (o *Owners) Update(now clock.Time, q *schema.KeysRequest) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	s := o.service(q.Service)
 	switch {
-	case q.Moving && q.Epoch == s.epoch:
-		for _, r := range q.Ranges {
-			s.moving = append(s.moving, moving{r.From, r.To, now.Add(movingTimeout)})
-		}
+	case q.Moving:
+		s.begin(now, q)
 		return
-	case !q.Moving && q.Epoch == s.epoch:
+	case q.Epoch == 0:
 		s.moving = slices.DeleteFunc(s.moving, func(m moving) bool { return overlaps(q.Ranges, m) })
 		s.notify()
 		return
-	case q.Moving || q.Epoch != s.epoch+1:
+	case q.Epoch <= s.epoch || len(s.ahead) >= maxAhead:
 		return
 	}
-	s.epoch, s.ranges, s.moving = q.Epoch, s.ranges.Replace(q.Ranges...), nil
-	s.notify()
+	if s.ahead == nil {
+		s.ahead = map[uint64]Ranges{}
+	}
+	s.ahead[q.Epoch] = q.Ranges
+	s.settle()
+}
+
+// begin starts the moves of ranges that still have the owners that are named in the
+// announcement: with an earlier epoch, they may have moved since.
+func (s *owners) begin(now clock.Time, q *schema.KeysRequest) {
+	s.moving = slices.DeleteFunc(s.moving, func(m moving) bool { return now >= m.until })
+	for _, r := range q.Ranges {
+		if o := s.ranges.Find(r.From); q.Epoch == s.epoch || o != nil && o.Target == r.Target && o.Born == r.Born {
+			s.moving = append(s.moving, moving{o, r.From, r.To, now.Add(movingTimeout)})
+		}
+	}
 }
 
 // overlaps reports whether any of the ranges shares keys with m.
