pace, pool, group, meter: stated pace of targets, slow spells waited out

Targets of some services state how long work takes on their machine. Nothing read it: the time of a target was the average of its last ten requests, which follows spells of some tenths of a second too late.

Package pace keeps the usual factor, its excess in spells, the work at factor 1 and the rest of a spell. The pool expects the time of a request from the factor now, takes the mean from the usual one, and holds requests back in a slow spell while waiting pays. A hold ends after a second at the latest. Factors that the times don't follow are ignored; targets that state none are served as before.

--- a/internal/gate/meter/meter.go
+++ b/internal/gate/meter/meter.go
@@ -126,6 +126,12 @@
 	m.scope.Tagged(map[string]string{"service": service, "cold": strconv.FormatBool(cold)}).Counter("target_warmups").Inc(1)
 }
 
+// Pace counts a target that stated in a response that it has become slow or is no longer,
+// and whether requests wait for that.
+func (m *Meter) Pace(service string, slow, held bool) {
+	m.scope.Tagged(map[string]string{"service": service, "slow": strconv.FormatBool(slow), "held": strconv.FormatBool(held)}).Counter("target_spells").Inc(1)
+}
+
 // Cut counts a request whose connection ended before its response was sent, by what it
 // had reached. leaving tells whether the instance was shutting down.
 func (m *Meter) Cut(service, progress string, leaving bool) {
--- a/internal/plan/pool/pool.go
+++ b/internal/plan/pool/pool.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"dandelionrock.example/dandelionrock/clock"
+	"dandelionrock.example/dandelionrock/internal/plan/pace"
 	"dandelionrock.example/dandelionrock/internal/plan/quota"
 )
 
@@ -61,6 +62,8 @@
 	warmup quota.Quota
 	// coldUntil is until when the target has said that it is cold.
 	coldUntil clock.Time
+	// finder knows the pace of a target that states it.
+	finder pace.Finder
 }
 
 // Pool holds the targets of a group and the requests that wait for them. The zero
@@ -69,6 +72,8 @@
 	members []*member
 	waiting []Request
 	mean    time.Duration
+	// found is the mean service time by the paces found out, or 0.
+	found time.Duration
 	// warmupRate is the rate of cold targets; see SetWarmup.
 	warmupRate quota.Rate
 	// promised holds when refused requests were told to retry, for those that are
@@ -127,6 +132,7 @@
 		}
 		p.members = append(p.members, m)
 	}
+	p.found = p.foundMean()
 }
 
 // Load returns the load of the targets that take requests at the given time or
@@ -142,26 +148,6 @@
 	return l
 }
 
-// meanTime returns the mean service time of the pool.
-func (p *Pool) meanTime() time.Duration {
-	if p.mean == 0 {
-		return initialMean
-	}
-	return p.mean
-}
-
-// expectedTime returns the expected service time of a target.
-func (p *Pool) expectedTime(now clock.Time, m *member) time.Duration {
-	d := m.mean
-	if d == 0 {
-		d = p.meanTime()
-	}
-	if m.isCold(now) {
-		d = max(d, coldFactor*p.meanTime())
-	}
-	return d
-}
-
 // Offer decides on a new request.
 func (p *Pool) Offer(now clock.Time, r Request) Decision {
 	if len(p.members) == 0 {
@@ -214,49 +200,6 @@
 	return min(max(d, minRetry), maxRetry)
 }
 
-// fastestFree returns the target with a free slot and the lowest cost for r, or
-// nil. It also returns nil if that target is in use, is expected to take more than
-// twice the mean time and to miss r's objective, while r could meet the objective
-// at the mean service time: waiting for another target then takes less time.
-func (p *Pool) fastestFree(now clock.Time, r Request) *member {
-	var best *member
-	for _, m := range p.members {
-		if m.running >= m.Slots || now < m.availableAt() || !m.maySend(now) || slices.Contains(r.Exclude, m.ID) || r.Suspect && m.suspects > 0 {
-			continue
-		}
-		if best == nil || p.costFor(now, m, r) < p.costFor(now, best, r) {
-			best = m
-		}
-	}
-	if best == nil || now.Add(p.expectedTime(now, best)) <= r.Objective || r.missesObjective(now, p.meanTime()) {
-		return best
-	}
-	if p.expectedTime(now, best) > 2*p.meanTime() && len(p.members) > 1 && best.running > 0 {
-		return nil
-	}
-	return best
-}
-
-// cost orders targets by expected service time, increased with the fraction of
-// their slots in use and with consecutive failures.
-func (p *Pool) cost(now clock.Time, m *member) time.Duration {
-	d := p.expectedTime(now, m)
-	return d + d*time.Duration(m.running)/time.Duration(4*m.Slots) + d*time.Duration(m.failures)
-}
-
-// suspectFactor is the factor of the cost of a target that would run a suspect beside
-// other requests.
-const suspectFactor = 4
-
-// costFor is the cost of a target for a request. Suspects and others are kept apart where
-// possible.
-func (p *Pool) costFor(now clock.Time, m *member, r Request) time.Duration {
-	if m.suspects > 0 || r.Suspect && m.running > 0 {
-		return suspectFactor * p.cost(now, m)
-	}
-	return p.cost(now, m)
-}
-
 // start counts a request as running at m.
 func (p *Pool) start(now clock.Time, r Request, m *member) Decision {
 	m.running++
@@ -293,9 +236,7 @@
 	m.running = max(m.running-1, 0)
 	switch result {
 	case Answered:
-		m.failures = 0
-		m.mean = movingAverage(m.mean, took)
-		p.mean = movingAverage(p.mean, took)
+		p.answered(now, m, took)
 	case Rejected:
 		m.pause(now, rejectPause, maxRejectPause)
 	case Unreachable:
@@ -304,6 +245,7 @@
 		m.failures++
 		if took > p.expectedTime(now, m) {
 			m.mean = movingAverage(p.expectedTime(now, m), took)
+			m.finder.Done(now, took)
 		}
 		if m.failures > failuresBeforePause {
 			m.failures--
@@ -313,14 +255,6 @@
 	}
 }
 
-// movingAverage returns the exponential moving average; a mean of 0 is none.
-func movingAverage(mean, d time.Duration) time.Duration {
-	if mean == 0 {
-		return d
-	}
-	return mean + time.Duration(meanWeight*float64(d-mean))
-}
-
 // Next starts the waiting requests that can start now and refuses those that have
 // expired.
 func (p *Pool) Next(now clock.Time) []Decision {
