unread, depot, hangup, relay, entry, router: connections of slow readers are closed before others pay

Responses were bounded while they were read from a target, and not while they waited for their turn on a connection, for a client that takes nothing, or for a link between instances. The queue of a connection also kept every response reachable until all were delivered.

depot now owns all of it: a ledger (internal/plan/unread) of the bytes held for each connection, and of those that belong to none.

--- a/internal/gate/depot/depot.go
+++ b/internal/gate/depot/depot.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"syscall"
 
+	"dandelionrock.example/dandelionrock/internal/plan/unread"
 	"github.com/cockroachdb/errors"
 )
 
@@ -52,13 +53,15 @@
 	limit, used int64
 	// accounts holds the parts of used by client account, none of them 0.
 	accounts map[Account]int64
-	// responseLimit bounds the bytes in responses.
+	// responseLimit bounds responses, the bytes for the responses that are being read.
 	responseLimit, responses atomic.Int64
+	held                     held
 }
 
 // New returns a Depot without bodies.
 func New() *Depot {
 	d := &Depot{accounts: map[Account]int64{}}
+	d.held.ledger, d.held.tabs = unread.New(0), map[unread.ID]*Tab{}
 	d.SetMemory(defaultMemory)
 	return d
 }
@@ -66,6 +69,7 @@
 // SetMemory sets the memory of the process in bytes.
 func (d *Depot) SetMemory(n int64) {
 	d.responseLimit.Store(int64(float64(n) * responseShare))
+	d.held.setLimit(int64(float64(n) * heldShare))
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.limit = limitOf(n)
@@ -288,10 +292,13 @@
 
 // ReadResponse reads the body of a response and calls progress with the number of bytes
 // of each read. It fails with ErrTooLong if the body exceeds MaxResponse, or the memory
-// for all responses that are being read.
+// for all responses that are being read or are held.
 func (d *Depot) ReadResponse(r io.Reader, progress func(n int)) ([]byte, error) {
 	var reserved int64
-	defer func() { d.responses.Add(-reserved) }()
+	defer func() {
+		d.responses.Add(-reserved)
+		d.Hold(-reserved)
+	}()
 	b := make([]byte, 0, firstRead)
 	for {
 		if len(b) == cap(b) {
@@ -300,7 +307,8 @@
 				// The old and the new buffer exist at the same time.
 				more := n + int64(cap(b)) - reserved
 				reserved += more
-				if d.responses.Add(more) > d.responseLimit.Load() || len(b) >= MaxResponse {
+				within := d.held.hold(unread.Others, more)
+				if d.responses.Add(more) > d.responseLimit.Load() || len(b) >= MaxResponse || !within {
 					return nil, ErrTooLong
 				}
 			}
--- /dev/null
+++ b/internal/gate/depot/held.go
@@ -0,0 +1,135 @@
+package depot
+
+import (
+	"sync"
+
+	"dandelionrock.example/dandelionrock/clock"
+	"dandelionrock.example/dandelionrock/internal/plan/unread"
+)
+
+// heldShare is the share of the memory for all that is held of responses, and for requests
+// that arrive ahead of their turn: while it is read from a target, is on its way between
+// instances, waits for its turn or for its client. The part for responses that are being
+// read, responseShare, lies within it.
+const heldShare = 0.25
+
+// held is the memory for responses.
+type held struct {
+	mu     sync.Mutex
+	ledger *unread.Ledger
+	// tabs holds the connections that have not been closed.
+	tabs map[unread.ID]*Tab
+	last unread.ID
+}
+
+// Tab is what is held for a connection of a client. A nil Tab counts nothing and always
+// has room. Its methods may be called concurrently.
+type Tab struct {
+	held *held
+	id   unread.ID
+	// evict is called in a goroutine of its own when the connection is to be closed.
+	evict func(unread.Victim)
+}
+
+// Open returns the tab of a new connection, which must be closed. evict must close the
+// connection, and so have all that it holds given back.
+func (d *Depot) Open(evict func(unread.Victim)) *Tab {
+	h := &d.held
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.last++
+	t := &Tab{h, h.last, evict}
+	h.tabs[t.id] = t
+	return t
+}
+
+// Hold counts n bytes that belong to no connection of this instance, or gives them back if
+// n is negative.
+func (d *Depot) Hold(n int64) { d.held.hold(unread.Others, n) }
+
+// Held returns the bytes that are held.
+func (d *Depot) Held() int64 {
+	d.held.mu.Lock()
+	defer d.held.mu.Unlock()
+	return int64(d.held.ledger.Total())
+}
+
+// hold changes the bytes of a connection and reports whether they are within the limit.
+func (h *held) hold(id unread.ID, n int64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ledger.Hold(id, unread.Bytes(n))
+	if n > 0 {
+		h.evict()
+	}
+	return !h.ledger.Full()
+}
+
+// evict has the connections closed that are to pay. The caller holds mu.
+func (h *held) evict() {
+	for {
+		v, ok := h.ledger.Next(clock.Boot())
+		if !ok {
+			return
+		}
+		if t := h.tabs[v.ID]; t != nil {
+			go t.evict(v)
+		}
+	}
+}
+
+func (h *held) setLimit(n int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ledger.SetLimit(unread.Bytes(n))
+	h.evict()
+}
+
+// Hold counts n bytes that are held for the connection, or gives them back if n is
+// negative.
+func (t *Tab) Hold(n int64) {
+	if t != nil {
+		t.held.hold(t.id, n)
+	}
+}
+
+// HasRoom reports whether a request of the connection may run ahead of its turn.
+func (t *Tab) HasRoom() bool {
+	if t == nil {
+		return true
+	}
+	t.held.mu.Lock()
+	defer t.held.mu.Unlock()
+	return t.held.ledger.HasRoom(t.id)
+}
+
+// Write records that a write to the connection begins, or that the client has taken a part
+// of it, and Written that it has ended.
+func (t *Tab) Write() {
+	if t == nil {
+		return
+	}
+	t.held.mu.Lock()
+	defer t.held.mu.Unlock()
+	t.held.ledger.Write(clock.Boot(), t.id)
+}
+
+// Written records that a write has ended.
+func (t *Tab) Written() {
+	if t == nil {
+		return
+	}
+	t.held.mu.Lock()
+	defer t.held.mu.Unlock()
+	t.held.ledger.Written(t.id)
+}
+
+// Close forgets the connection. Bytes that it still holds are given back later.
+func (t *Tab) Close() {
+	if t == nil {
+		return
+	}
+	t.held.mu.Lock()
+	defer t.held.mu.Unlock()
+	delete(t.held.tabs, t.id)
+}
--- a/internal/gate/hangup/ahead.go
+++ b/internal/gate/hangup/ahead.go
@@ -43,6 +43,7 @@
 type Runner struct {
 	handler http.Handler
 	policy  Policy
+	bounded Bounded
 	// running counts the requests of all connections that are executed ahead.
 	running atomic.Int64
 
@@ -81,7 +82,11 @@
 	return slices.Collect(maps.Keys(n.conns))
 }
 
+// add adds a connection with its first request.
 func (n *Runner) add(c *conn) {
+	if n.bounded != nil {
+		c.tab = n.bounded.Memory().Open(c.evict)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.conns[c] = struct{}{}
@@ -213,6 +218,7 @@
 		c.dropAhead()
 		return nil
 	}
+	c.waiting[0] = nil // it must not be reachable when its response is delivered
 	c.waiting = c.waiting[1:]
 	return q
 }
@@ -233,7 +239,7 @@
 		if q.done != nil {
 			continue
 		}
-		if i >= maxConnAhead || !c.runner.mayRun(q.request) || c.runner.running.Load() >= int64(c.runner.policy.MaxAhead()) {
+		if i >= maxConnAhead || !c.tab.HasRoom() || !c.runner.mayRun(q.request) || c.runner.running.Load() >= int64(c.runner.policy.MaxAhead()) {
 			return
 		}
 		c.start(q)
@@ -244,6 +250,7 @@
 func (c *conn) start(q *queued) {
 	x, stop := context.WithCancelCause(context.WithValue(c.base, queuedKey{}, q))
 	q.cancel, q.done = stop, make(chan struct{})
+	q.response.tab = c.tab
 	n := c.runner
 	n.running.Add(1)
 	go func() {
@@ -302,6 +309,7 @@
 		if q.isReady() {
 			q.tellLost()
 		}
+		q.response.drop()
 	}
 	c.waiting = nil
 }
@@ -312,6 +320,7 @@
 	stop := context.AfterFunc(c, func() { q.cancel(context.Cause(c)) })
 	<-q.done
 	stop()
+	defer q.response.drop()
 	if q.panicked != nil {
 		panic(q.panicked)
 	}
@@ -323,51 +332,6 @@
 	}
 }
 
-// response records the response of a handler.
-type response struct {
-	header http.Header
-	status int
-	body   [][]byte
-}
-
-// Header implements http.ResponseWriter.
-func (p *response) Header() http.Header {
-	if p.header == nil {
-		p.header = http.Header{}
-	}
-	return p.header
-}
-
-// WriteHeader implements http.ResponseWriter.
-func (p *response) WriteHeader(status int) {
-	if p.status == 0 {
-		p.status = status
-	}
-}
-
-// Write implements http.ResponseWriter. It keeps b, which must not be modified
-// later: responses can be large.
-func (p *response) Write(b []byte) (int, error) {
-	p.WriteHeader(http.StatusOK)
-	p.body = append(p.body, b)
-	return len(b), nil
-}
-
-// writeTo returns the error of the first write that fails.
-func (p *response) writeTo(w http.ResponseWriter) error {
-	h := w.Header()
-	for k, v := range p.header {
-		h[k] = v
-	}
-	w.WriteHeader(max(p.status, http.StatusOK))
-	for _, b := range p.body {
-		if _, err := w.Write(b); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // queuedKey is the context key of a request that is executed ahead.
 type queuedKey struct{}
 
--- a/internal/gate/hangup/close.go
+++ b/internal/gate/hangup/close.go
@@ -17,6 +17,9 @@
 // Write writes to the network.
 func (c *conn) Write(b []byte) (int, error) {
 	c.wroteAt.Store(int64(clock.Boot()))
+	if c.tab != nil {
+		return c.writeParts(b)
+	}
 	return c.Conn.Write(b)
 }
 
@@ -47,6 +50,8 @@
 		c.runner.remove(c)
 	}
 	c.ahead, c.size, c.head = nil, 0, nil
+	c.count()
+	c.tab.Close()
 	if c.err == nil {
 		c.err = net.ErrClosed
 	}
--- a/internal/gate/hangup/hangup.go
+++ b/internal/gate/hangup/hangup.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 
 	"dandelionrock.example/dandelionrock/clock"
+	"dandelionrock.example/dandelionrock/internal/gate/depot"
 	"dandelionrock.example/dandelionrock/internal/sock/linger"
 )
 
@@ -108,6 +109,12 @@
 	// of the request that is served.
 	runner *Runner
 	base   context.Context
+	// serving is the request that was passed to the handler last.
+	serving *http.Request
+	// tab counts what is held for the connection, from the first request on, and counted
+	// is the part of it for requests that wait for their turn.
+	tab     *depot.Tab
+	counted int64
 }
 
 // Read returns the bytes that were read ahead, or else reads from the network.
@@ -136,6 +143,7 @@
 	}
 	c.peerEnded = c.peerEnded || isEnd(err)
 	c.observe(b[:n], c.arrived)
+	c.count()
 	if err == nil && c.cancel != nil {
 		c.startAhead()
 		c.startReadAhead()
@@ -151,8 +159,10 @@
 	c.arrived = k.at
 	c.size -= n
 	if k.data = k.data[n:]; len(k.data) == 0 {
+		k.data = nil
 		c.ahead = c.ahead[1:]
 	}
+	c.count()
 	return n
 }
 
@@ -187,6 +197,7 @@
 			c.ahead = append(c.ahead, chunk{bytes.Clone(c.buffer[:n]), now})
 			c.size += n
 			c.observe(c.buffer[:n], now)
+			c.count()
 			c.startAhead()
 		}
 		if isEnd(err) {
@@ -217,10 +228,12 @@
 	}
 	c.cancel = cancel
 	c.requests++
-	q := c.take(r)
 	if c.runner == nil {
 		n.add(c)
 	}
+	c.serving = r
+	q := c.take(r)
+	c.count()
 	c.runner, c.base, c.alone = n, context.WithoutCancel(r.Context()), !n.mayRun(r)
 	if c.err != nil {
 		cancel(nil)
@@ -281,10 +294,12 @@
 
 // Handler returns a handler that calls h with a context that is cancelled when
 // the client closes the connection. If h is a Policy, pipelined requests run at the
-// same time. The server must use Listener and ConnContext.
+// same time; if it is Bounded, connections are closed that hold too much. The server must
+// use Listener and ConnContext.
 func Handler(h http.Handler) *Runner {
 	u := &Runner{handler: h, conns: map[*conn]struct{}{}}
 	u.policy, _ = h.(Policy)
+	u.bounded, _ = h.(Bounded)
 	return u
 }
 
@@ -306,5 +321,8 @@
 		q.deliver(c, w, n.policy)
 		return
 	}
+	if k.tab != nil {
+		w = writer{w, k.tab}
+	}
 	n.handler.ServeHTTP(w, r.WithContext(c))
 }
--- /dev/null
+++ b/internal/gate/hangup/held.go
@@ -0,0 +1,101 @@
+package hangup
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"dandelionrock.example/dandelionrock/internal/gate/depot"
+	"dandelionrock.example/dandelionrock/internal/plan/unread"
+)
+
+const (
+	// writeSize is the size in bytes of the parts in which responses are written, so that
+	// a client that takes some of one is told from a client that takes nothing.
+	writeSize = 64 << 10
+	// queuedSize is about the memory in bytes of a request that waits for its turn, beside
+	// its head.
+	queuedSize = 2 << 10
+)
+
+// Bounded is implemented by handlers that bound the memory for the responses and requests
+// of all connections.
+type Bounded interface {
+	// Memory returns the owner of that memory.
+	Memory() *depot.Depot
+	// Evicted is called when a connection has been closed because of what it held.
+	Evicted(e Eviction)
+}
+
+// Eviction describes a connection that has been closed because of what it held.
+type Eviction struct {
+	// Request is the request that was served, and Remote the address of the client.
+	Request *http.Request
+	Remote  net.Addr
+	// Bytes were held for it, and the client had taken none of a response for Blocked.
+	Bytes   int64
+	Blocked time.Duration
+	// Owed is the number of requests that get no response, or not all of it.
+	Owed int
+}
+
+// evict closes the connection at once: what the client has not received is dropped, also
+// by the kernel.
+func (c *conn) evict(v unread.Victim) {
+	e := Eviction{Remote: c.RemoteAddr(), Bytes: int64(v.Bytes), Blocked: v.Blocked, Owed: c.owed()}
+	c.mu.Lock()
+	n, closed := c.runner, c.closed
+	e.Request, c.peerEnded = c.serving, true
+	c.mu.Unlock()
+	if closed {
+		return
+	}
+	if t, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = t.SetLinger(0) // the connection is closed in any case
+	}
+	_ = c.Close() // it is closed, or has just been
+	n.bounded.Evicted(e)
+}
+
+// count counts the requests that wait for their turn. The caller holds mu.
+func (c *conn) count() {
+	if c.tab == nil {
+		return
+	}
+	n := int64(c.size + len(c.head) + len(c.waiting)*queuedSize)
+	if n != c.counted {
+		c.tab.Hold(n - c.counted)
+		c.counted = n
+	}
+}
+
+// writeParts writes b in parts, to tell whether the client takes any of it.
+func (c *conn) writeParts(b []byte) (int, error) {
+	defer c.tab.Written()
+	n := 0
+	for {
+		c.tab.Write()
+		k, err := c.Conn.Write(b[n:min(n+writeSize, len(b))])
+		n += k
+		if err != nil || n == len(b) {
+			return n, err
+		}
+	}
+}
+
+// writer counts the parts of a response while they are written.
+type writer struct {
+	http.ResponseWriter
+	tab *depot.Tab
+}
+
+// Write implements http.ResponseWriter.
+func (w writer) Write(b []byte) (int, error) {
+	n := int64(cap(b))
+	w.tab.Hold(n)
+	defer w.tab.Hold(-n)
+	return w.ResponseWriter.Write(b)
+}
+
+// Unwrap is for http.ResponseController.
+func (w writer) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- a/internal/gate/meter/meter.go
+++ b/internal/gate/meter/meter.go
@@ -133,6 +133,13 @@
 	s.Counter("cut_requests").Inc(1)
 }
 
+// Evicted counts a connection that was closed because of the responses that its client had
+// not read, and the bytes that it held.
+func (m *Meter) Evicted(held int64) {
+	m.scope.Counter("unread_connections_closed").Inc(1)
+	m.scope.Counter("unread_bytes_dropped").Inc(held)
+}
+
 // KeysMoved counts keys that got another owner, and records how long they had none.
 func (m *Meter) KeysMoved(service, why string, keys int, took time.Duration) {
 	s := m.scope.Tagged(map[string]string{"service": service, "why": why})
--- a/internal/gate/router/bodies.go
+++ b/internal/gate/router/bodies.go
@@ -6,6 +6,7 @@
 	"dandelionrock.example/dandelionrock/internal/gate/depot"
 	"dandelionrock.example/dandelionrock/schema"
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 )
 
 // reasonBodyMissing states that the body that was sent ahead of a request has been dropped.
@@ -37,6 +38,13 @@
 	return g.Send(q.Request, a)
 }
 
+// releaseReply gives the memory of a reply of Send or SendStored back.
+func (n *Instance) releaseReply(m proto.Message) {
+	if a, ok := m.(*schema.SendReply); ok {
+		n.bodies.Hold(-int64(cap(a.Body)))
+	}
+}
+
 // warnOfBodies logs if the memory is too small for the longest body that the configuration
 // permits, when either of them has changed.
 func (n *Instance) warnOfBodies() {
--- a/internal/gate/router/peers.go
+++ b/internal/gate/router/peers.go
@@ -46,7 +46,9 @@
 		a.Outcome, a.Reason = schema.SendOutcome_SEND_OUTCOME_REFUSED, r
 		return nil
 	}
-	return g.n.homes.Send(q, a)
+	err = g.n.homes.Send(q, a)
+	g.n.bodies.Hold(int64(cap(a.Body)))
+	return err
 }
 
 // unavailable returns the reason why this instance is not to be a home for other
--- a/internal/gate/router/router.go
+++ b/internal/gate/router/router.go
@@ -157,12 +157,15 @@
 	n.self.Region, n.self.FailureDomain = s.Region, s.FailureDomain
 	n.store, n.granter = platform.NewStore(s.Store.String()), platform.NewGranter()
 	d := &net.Dialer{Control: sender.Control, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}}
-	o := relay.Options{Dial: func(c context.Context, a string) (net.Conn, error) { return d.DialContext(c, "tcp", a) }}
+	n.bodies = depot.New()
+	o := relay.Options{
+		Dial: func(c context.Context, a string) (net.Conn, error) { return d.DialContext(c, "tcp", a) },
+		Hold: n.bodies.Hold, Replied: n.releaseReply,
+	}
 	n.pool, n.server = relay.NewPool(o), relay.NewServer(o)
 	n.alive = alive.New(s.Instance)
 	n.syncer = syncer.New(n.self, n.store, n.pool, n.alive, spreadBound(s), l, n.guard)
 	n.owners = &keys.Owners{}
-	n.bodies = depot.New()
 	n.shelf = depot.NewShelf(n.bodies)
 	n.connections = sender.New(n.bodies)
 	n.herald = herald.New(herald.Options{Self: n.self, Views: n.syncer, Pool: n.pool, Log: l, Guard: n.guard})
--- a/internal/relay/close_test.go
+++ b/internal/relay/close_test.go
@@ -31,7 +31,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		out, in := newStream(c, 1<<20, time.Second, 0), newReader(slowReader{c}, 2<<20)
+		out, in := newStream(c, Options{MaxFrame: 1 << 20, WriteTimeout: time.Second}.withDefaults(), 0), newReader(slowReader{c}, Options{MaxFrame: 2 << 20}.withDefaults())
 		q := request("held", 0)
 		q.Method = "LARGE"
 		_, _ = out.append(header{method: "Echo.Do", sequence: 1}, q, true)
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -43,8 +43,8 @@
 }
 
 func newClientCodec(c net.Conn, o Options) *clientCodec {
-	k := &clientCodec{out: newStream(c, o.MaxFrame, o.WriteTimeout, 0), onLeave: func() {}, onReadError: func() {}}
-	k.in = newReader(timedReader{c, &k.lastRead}, o.MaxFrame)
+	k := &clientCodec{out: newStream(c, o, 0), onLeave: func() {}, onReadError: func() {}}
+	k.in = newReader(timedReader{c, &k.lastRead}, o)
 	k.lastRead.Store(int64(clock.Boot()))
 	return k
 }
@@ -110,12 +110,13 @@
 
 // serverCodec implements rpc.ServerCodec.
 type serverCodec struct {
-	out *stream
-	in  *reader
+	out     *stream
+	in      *reader
+	replied func(m proto.Message)
 }
 
 func newServerCodec(c net.Conn, o Options) *serverCodec {
-	return &serverCodec{out: newStream(c, o.MaxFrame, o.WriteTimeout, o.DrainTime), in: newReader(c, o.MaxFrame)}
+	return &serverCodec{out: newStream(c, o, o.DrainTime), in: newReader(c, o), replied: o.Replied}
 }
 
 // ReadRequestHeader reads the next request.
@@ -144,6 +145,9 @@
 func (s *serverCodec) WriteResponse(r *rpc.Response, body any) error {
 	h := header{sequence: r.Seq, errorText: truncateError(r.Error)}
 	m, _ := body.(proto.Message)
+	if m != nil {
+		defer s.replied(m)
+	}
 	if h.errorText != "" {
 		m = nil
 	}
--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -14,6 +14,7 @@
 
 	"dandelionrock.example/dandelionrock/internal/value/preset"
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 )
 
 // ErrNotSent reports that the peer didn't receive the call.
@@ -61,6 +62,14 @@
 	MinBackOff, MaxBackOff time.Duration
 	// Dial opens a connection. The default dials TCP.
 	Dial func(c context.Context, address string) (net.Conn, error)
+
+	// Hold is called with the number of bytes by which those have grown that are queued for
+	// writing or of which a large frame is read, or shrunk if it is negative. The default
+	// does nothing.
+	Hold func(n int64)
+	// Replied is called when a server no longer needs a reply, because it is queued or
+	// can't be. The default does nothing.
+	Replied func(m proto.Message)
 }
 
 func (o Options) withDefaults() Options {
@@ -71,6 +80,12 @@
 	preset.Positive(&o.DialTimeout, 500*time.Millisecond)
 	preset.Positive(&o.MinBackOff, 10*time.Millisecond)
 	preset.Positive(&o.MaxBackOff, 200*time.Millisecond)
+	if o.Hold == nil {
+		o.Hold = func(int64) {}
+	}
+	if o.Replied == nil {
+		o.Replied = func(proto.Message) {}
+	}
 	if o.Dial == nil {
 		var d net.Dialer
 		o.Dial = func(c context.Context, a string) (net.Conn, error) { return d.DialContext(c, "tcp", a) }
--- a/internal/relay/frame.go
+++ b/internal/relay/frame.go
@@ -34,15 +34,31 @@
 	buffered int
 	// large is reused for frames that don't fit into the read buffer.
 	large []byte
+	// hold is told of changes of the size of large.
+	hold func(n int64)
 }
 
-func newReader(r io.Reader, limit int) *reader {
-	return &reader{in: bufio.NewReaderSize(r, readBufferSize), limit: limit}
+func newReader(r io.Reader, o Options) *reader {
+	return &reader{in: bufio.NewReaderSize(r, readBufferSize), limit: o.MaxFrame, hold: o.Hold}
 }
 
-// next reads a frame into head and body.
+// next reads a frame into head and body. It must not be called again after an error.
 func (r *reader) next() error {
 	r.discard()
+	err := r.read()
+	if err != nil {
+		r.setLarge(nil)
+	}
+	return err
+}
+
+// setLarge replaces large.
+func (r *reader) setLarge(b []byte) {
+	r.hold(int64(cap(b) - cap(r.large)))
+	r.large = b
+}
+
+func (r *reader) read() error {
 	h, err := r.in.Peek(prefixSize)
 	if err != nil {
 		if len(h) > 0 && errors.Is(err, io.EOF) {
@@ -77,7 +93,7 @@
 		return f, nil
 	}
 	if cap(r.large) < n {
-		r.large = make([]byte, n)
+		r.setLarge(make([]byte, n))
 	}
 	if _, err := io.ReadFull(r.in, r.large[:n]); err != nil {
 		return nil, io.ErrUnexpectedEOF
@@ -90,7 +106,7 @@
 	_, _ = r.in.Discard(r.buffered)
 	r.buffered, r.body = 0, nil
 	if cap(r.large) > maxReusedBuffer {
-		r.large = nil
+		r.setLarge(nil)
 	}
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -14,6 +14,7 @@
 
 	"dandelionrock.example/dandelionrock/schema"
 	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -69,11 +70,14 @@
 	return &schema.ForwardRequest{RequestId: id, Body: make([]byte, size)}
 }
 
-// Guards against replies that are delivered to the wrong call, and against frames
-// that are damaged because their size is close to that of the read buffer.
+// Guards against replies that are delivered to the wrong call, against frames that are
+// damaged because their size is close to that of the read buffer, and against bytes that
+// stay counted when the connections are closed.
 func TestConcurrentCalls(t *testing.T) {
-	_, s, a := serve(t, Options{})
-	p := NewPool(Options{Connections: 2})
+	var held, replied, most atomic.Int64
+	hold := func(n int64) { most.Store(max(most.Load(), held.Add(n))) }
+	_, s, a := serve(t, Options{Hold: hold, Replied: func(proto.Message) { replied.Add(1) }})
+	p := NewPool(Options{Connections: 2, Hold: hold})
 	var g sync.WaitGroup
 	for i := range 64 {
 		g.Go(func() {
@@ -88,6 +92,9 @@
 	g.Wait()
 	p.Close()
 	s.Close()
+	if held.Load() != 0 || most.Load() < 1<<20 || replied.Load() != 64*7 {
+		t.Errorf("%d bytes are held, at most %d; %d replies", held.Load(), most.Load(), replied.Load())
+	}
 }
 
 // Guards against errors that don't state whether the peer can have received the
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -59,6 +59,10 @@
 	// changes once done is closed.
 	written int64
 	closed  bool
+	// hold is told of changes of held, the bytes that are pending or being written, the
+	// latter of which are writing.
+	hold          func(n int64)
+	held, writing int
 	// arrived is the highest position that the peer is known to have received.
 	arrived atomic.Int64
 	// sendingUntil is when the large frames are sent at the latest.
@@ -69,8 +73,8 @@
 	done chan struct{}
 }
 
-func newStream(c net.Conn, limit int, timeout, linger time.Duration) *stream {
-	s := &stream{conn: c, limit: limit, timeout: timeout, linger: linger, done: make(chan struct{})}
+func newStream(c net.Conn, o Options, linger time.Duration) *stream {
+	s := &stream{conn: c, limit: o.MaxFrame, timeout: o.WriteTimeout, linger: linger, hold: o.Hold, done: make(chan struct{})}
 	s.notEmpty.L, s.notFull.L = &s.mu, &s.mu
 	go s.run()
 	return s
@@ -101,6 +105,7 @@
 	size := len(b) - len(s.pending)
 	s.queued += int64(size)
 	s.pending = b
+	s.count()
 	if size >= largeFrame {
 		left := float64(s.queued - s.arrived.Load())
 		s.sendingUntil = max(s.sendingUntil, clock.Boot().Add(time.Duration(left/minBandwidth*float64(time.Second))))
@@ -108,6 +113,15 @@
 	return s.queued, nil
 }
 
+// count reports the bytes that are held. The caller holds mu.
+func (s *stream) count() {
+	n := len(s.pending) + s.writing
+	if n != s.held {
+		s.hold(int64(n - s.held))
+		s.held = n
+	}
+}
+
 // setArrived records that the peer has received the frame that ends at the given position,
 // and so all before it.
 func (s *stream) setArrived(end int64) {
@@ -166,10 +180,12 @@
 		n, err := s.conn.Write(b)
 		s.mu.Lock()
 		s.written += int64(n)
+		s.writing = 0
 		if err != nil {
 			s.closed, s.linger = true, 0
 			s.pending = nil
 		}
+		s.count()
 		if cap(b) <= maxReusedBuffer {
 			s.spare = b[:0]
 		}
@@ -190,7 +206,8 @@
 		s.notEmpty.Wait()
 	}
 	b := s.pending
-	s.pending, s.spare = s.spare[:0], nil
+	s.pending, s.spare, s.writing = s.spare[:0], nil, len(b)
+	s.count()
 	return b, len(b) > 0
 }
 
@@ -210,6 +227,7 @@
 	s.mu.Lock()
 	s.closed = true
 	s.pending = nil
+	s.count()
 	s.mu.Unlock()
 	s.notEmpty.Broadcast()
 	s.notFull.Broadcast()
