pool: admission counts what starts before a request, and leaves time for longer answers

Guards a target whose requests are of several urgencies, and one that is overloaded for long. An urgent request was refused because of less urgent ones in the queue, which it would have overtaken; only those that start before it count now, and who can't be in time behind it is refused at once instead of after its objective has passed ("overtaken"). Under sustained overload each request starts as late as admission permits: half of the mean service time is left for longer ones.

--- a/internal/plan/pool/pool.go
+++ b/internal/plan/pool/pool.go
@@ -162,58 +162,6 @@
 	return d
 }
 
-// Offer decides on a new request.
-func (p *Pool) Offer(now clock.Time, r Request) Decision {
-	if len(p.members) == 0 {
-		return Decision{r.ID, Refuse, "", noTargetRetry, ReasonNoTarget}
-	}
-	if len(p.waiting) == 0 {
-		if m := p.fastestFree(now, r); m != nil {
-			return p.start(now, r, m)
-		}
-	}
-	l := p.Load(now)
-	if l.Slots == 0 {
-		return Decision{r.ID, Refuse, "", p.nextPauseEnd(now), ReasonPaused}
-	}
-	if !p.admits(now, l, r) {
-		return Decision{r.ID, Refuse, "", p.retryAfter(now, l), l.full()}
-	}
-	p.waiting = append(p.waiting, r)
-	return Decision{ID: r.ID, Verdict: Wait}
-}
-
-// admits reports whether a request may wait. It may if it is expected to meet its
-// objective. If it would be late even without a wait, it may if it is expected to
-// end before its deadline after a wait of at most the mean service time.
-func (p *Pool) admits(now clock.Time, l Load, r Request) bool {
-	finish := now.Add(l.Backlog() + l.Mean)
-	if finish <= r.Objective {
-		return true
-	}
-	if finish > r.Deadline {
-		return false
-	}
-	return r.missesObjective(now, l.Mean) && l.Backlog() <= l.Mean
-}
-
-// missesObjective reports whether a request that started now would be late.
-func (r Request) missesObjective(now clock.Time, mean time.Duration) bool {
-	return now.Add(mean) > r.Objective
-}
-
-// retryAfter returns the retry delay of a refused request. Requests that are refused
-// because of limits are told to retry at the rate that is free.
-func (p *Pool) retryAfter(now clock.Time, l Load) time.Duration {
-	d := l.Backlog()
-	if l.full() != ReasonFull {
-		p.promised = slices.DeleteFunc(p.promised, func(t clock.Time) bool { return t <= now })
-		d = max(d, p.limitedWait(now, l.Waiting+len(p.promised)+1))
-		p.promised = append(p.promised, now.Add(min(d, maxRetry)))
-	}
-	return min(max(d, minRetry), maxRetry)
-}
-
 // fastestFree returns the target with a free slot and the lowest cost for r, or
 // nil. It also returns nil if that target is in use, is expected to take more than
 // twice the mean time and to miss r's objective, while r could meet the objective
@@ -321,75 +269,6 @@
 	return mean + time.Duration(meanWeight*float64(d-mean))
 }
 
-// Next starts the waiting requests that can start now and refuses those that have
-// expired.
-func (p *Pool) Next(now clock.Time) []Decision {
-	if len(p.waiting) == 0 {
-		return nil
-	}
-	mean := p.meanTime()
-	slices.SortStableFunc(p.waiting, func(a, b Request) int { return compare(now, mean, a, b) })
-	var out []Decision
-	keep := p.waiting[:0]
-	for _, r := range p.waiting {
-		if reason := p.hopeless(now, r, len(keep)+1, mean); reason != "" {
-			retry := p.retryAfter(now, p.Load(now))
-			if reason == ReasonPaused {
-				retry = p.nextPauseEnd(now)
-			}
-			out = append(out, Decision{r.ID, Refuse, "", retry, reason})
-			continue
-		}
-		if m := p.fastestFree(now, r); m != nil {
-			out = append(out, p.start(now, r, m))
-			continue
-		}
-		keep = append(keep, r)
-	}
-	clear(p.waiting[len(keep):])
-	p.waiting = keep
-	return out
-}
-
-// hopeless returns the reason for which a waiting request, the n-th in the queue, is to
-// be refused, or "".
-func (p *Pool) hopeless(now clock.Time, r Request, n int, mean time.Duration) string {
-	switch {
-	case len(p.members) == 0:
-		return ReasonNoTarget
-	case p.expired(now, r, mean):
-		return ReasonExpired
-	case p.outOfReach(now, n, r, mean):
-		return p.limitReason(now)
-	case p.barredBeyond(r.Deadline.Add(-mean)):
-		return ReasonPaused
-	}
-	return ""
-}
-
-// expired reports whether a waiting request is to be refused: it can't end before
-// its deadline, or it is late and has waited for more than two mean service times.
-func (p *Pool) expired(now clock.Time, r Request, mean time.Duration) bool {
-	return now.Add(mean/2) > r.Deadline || now > r.Objective && now.Sub(r.Begin) > 2*mean
-}
-
-// compare orders waiting requests: first those that can meet their objective, by
-// priority and objective, then the others by priority and arrival.
-func compare(now clock.Time, mean time.Duration, a, b Request) int {
-	lateA, lateB := a.missesObjective(now, mean), b.missesObjective(now, mean)
-	switch {
-	case lateA != lateB && lateB:
-		return -1
-	case lateA != lateB:
-		return 1
-	case a.Priority != b.Priority:
-		return a.Priority - b.Priority
-	case lateA:
-		return int(a.Begin.Sub(b.Begin))
-	}
-	return int(a.Objective.Sub(b.Objective))
-}
-
 // Cancel removes a waiting request. It reports whether the request was waiting.
 func (p *Pool) Cancel(id ID) bool {
 	n := len(p.waiting)
--- a/internal/plan/pool/request.go
+++ b/internal/plan/pool/request.go
@@ -43,6 +43,8 @@
 	ReasonExpired  = "waited-too-long"
 	ReasonLimited  = "target-limit"
 	ReasonCold     = "targets-cold"
+	// ReasonOvertaken states that more urgent requests have come since.
+	ReasonOvertaken = "overtaken"
 )
 
 // Decision is the verdict on a request with its details.
