--- a/internal/plan/pool/preview.go
+++ b/internal/plan/pool/preview.go
@@ -24,7 +24,7 @@
 	if l.Slots == 0 {
 		return Decision{r.ID, Refuse, "", p.nextPauseEnd(now), ReasonPaused}, nil
 	}
-	if !p.admits(now, l, r) {
+	if !p.admits(now, p.loadBefore(now, l, r), r) {
 		return Decision{r.ID, Refuse, "", p.retryAfter(now, l), l.full()}, nil
 	}
 	return Decision{ID: r.ID, Verdict: Wait}, nil
