--- a/internal/plan/pace/pace.go
+++ b/internal/plan/pace/pace.go
@@ -46,6 +46,9 @@
 	// maxHold bounds the time for which requests are held back in one spell, and the time
 	// that counts between two readings.
 	maxHold = time.Second
+	// holdGain is the expected reduction of a request's time for each unit of time for which
+	// it is held back: the slot stands idle meanwhile, and requests behind it wait.
+	holdGain = 1.2
 	// noticeTime is the expected time from the end of a spell to a reading that shows it.
 	noticeTime = 100 * time.Millisecond
 	// lieRatio is the ratio of the errors with and without the stated factors from which
@@ -215,12 +218,12 @@
 //
 // With a mean rest r of spells, the chance that the spell still goes on t after the last
 // reading is exp(-t/r). If a request that begins in it takes e longer, waiting reduces the
-// expected excess at the rate e/r*exp(-t/r), which pays as long as this is above 1.
+// expected excess at the rate e/r*exp(-t/r), which pays as long as this is above holdGain.
 func (f *Finder) Hold(now clock.Time) bool {
 	if !f.Known() || !f.Slow() || f.Lies() || now.Sub(f.slowSince) > maxHold {
 		return false
 	}
 	excess := float64(f.work) * float64(f.last().factor-f.usual)
 	rest := float64(f.slowTime)/f.ends + float64(noticeTime)
-	return float64(now.Sub(f.last().at)) < rest*math.Log(excess/rest)
+	return float64(now.Sub(f.last().at)) < rest*math.Log(excess/(holdGain*rest))
 }
