--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -156,7 +156,7 @@
 	}
 	header.Set(a, header.Upstream, m.Upstream, header.Epoch, epoch, header.Home, m.Home, header.Reason, m.Reason)
 	switch {
-	case m.Outcome == schema.Outcome_OUTCOME_ANSWERED && m.Status >= 200 && m.Status <= 999:
+	case m.Outcome == schema.Outcome_OUTCOME_ANSWERED && header.IsFinal(int(m.Status)):
 		a[header.Outcome] = answered
 		writeAnswer(w, method, m)
 	case m.Outcome == schema.Outcome_OUTCOME_NOT_RUN:
--- a/internal/edge/handler_test.go
+++ b/internal/edge/handler_test.go
@@ -206,6 +206,9 @@
 		{&schema.ForwardReply{Outcome: schema.Outcome_OUTCOME_UNKNOWN, Reason: "interrupted"}, 502, "unknown"},
 		{&schema.ForwardReply{}, 502, "unknown"},
 		{&schema.ForwardReply{Outcome: schema.Outcome_OUTCOME_ANSWERED, Status: 7}, 502, "unknown"},
+		{&schema.ForwardReply{Outcome: schema.Outcome_OUTCOME_ANSWERED, Status: 101}, 502, "unknown"},
+		{&schema.ForwardReply{Outcome: schema.Outcome_OUTCOME_ANSWERED, Status: 600}, 502, "unknown"},
+		{&schema.ForwardReply{Outcome: schema.Outcome_OUTCOME_ANSWERED, Status: 599}, 599, "answered"},
 		{&schema.ForwardReply{Outcome: schema.Outcome_OUTCOME_ANSWERED, Status: 204}, 204, "answered"},
 		{nil, 502, "unknown"},
 	} {
--- a/internal/gate/entry/entry_test.go
+++ b/internal/gate/entry/entry_test.go
@@ -21,6 +21,7 @@
 	"dandelionrock.example/dandelionrock/peer"
 	"dandelionrock.example/dandelionrock/platform"
 	"dandelionrock.example/dandelionrock/platform/fake"
+	"dandelionrock.example/dandelionrock/schema"
 	"github.com/rs/zerolog"
 )
 
@@ -167,3 +168,20 @@
 		t.Errorf("objective of a retry is %v, want about 300ms", got)
 	}
 }
+
+// Guards against a client that gets a number from a home as its status that is none.
+func TestInvalidStatusOfReply(t *testing.T) {
+	e := newEntry(t, true)
+	for status, want := range map[int32]int{0: 502, 7: 502, 101: 502, 199: 502, 200: 200, 599: 599, 600: 502, 999: 502, 1000: 502, -1: 502} {
+		q := &request{entry: e, route: &platform.Route{}, service: platform.Service{Keyed: true}}
+		a := &schema.SendReply{Outcome: schema.SendOutcome_SEND_OUTCOME_ANSWERED, Status: status}
+		checkStatus(a)
+		w := httptest.NewRecorder()
+		if again := q.handleResult(a, nil, group.ID{}); again {
+			t.Errorf("status %d: a request that may have run is repeated", status)
+		}
+		if q.respond(w); w.Code != want {
+			t.Errorf("status %d: the client gets %d, want %d", status, w.Code, want)
+		}
+	}
+}
--- a/internal/gate/entry/request.go
+++ b/internal/gate/entry/request.go
@@ -9,6 +9,7 @@
 	"dandelionrock.example/dandelionrock/internal/gate/depot"
 	"dandelionrock.example/dandelionrock/internal/gate/group"
 	"dandelionrock.example/dandelionrock/internal/gate/warden"
+	"dandelionrock.example/dandelionrock/internal/header"
 	"dandelionrock.example/dandelionrock/internal/plan/pool"
 	"dandelionrock.example/dandelionrock/internal/plan/realm"
 	"dandelionrock.example/dandelionrock/internal/relay"
@@ -106,6 +107,7 @@
 			return
 		}
 		a, err := q.send(c, k)
+		checkStatus(a)
 		if c.Err() != nil {
 			q.expire(a, err)
 			return
@@ -116,6 +118,14 @@
 	}
 }
 
+// checkStatus changes the outcome of a reply with a response whose status is none. Homes of
+// earlier versions may pass one on.
+func checkStatus(a *schema.SendReply) {
+	if a.GetOutcome() == schema.SendOutcome_SEND_OUTCOME_ANSWERED && !header.IsFinal(int(a.Status)) {
+		a.Outcome, a.Reason = schema.SendOutcome_SEND_OUTCOME_UNKNOWN, "no-answer"
+	}
+}
+
 // expire ends a request whose deadline has passed or whose client has
 // disconnected, given the result of the last try.
 func (q *request) expire(a *schema.SendReply, err error) {
--- a/internal/gate/hangup/ahead.go
+++ b/internal/gate/hangup/ahead.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 
 	"dandelionrock.example/dandelionrock/clock"
+	"dandelionrock.example/dandelionrock/internal/header"
 	"github.com/cockroachdb/errors"
 )
 
@@ -338,10 +339,15 @@
 	return p.header
 }
 
-// WriteHeader implements http.ResponseWriter.
+// WriteHeader implements http.ResponseWriter. Interim responses are left out, and a number
+// that is no status is an error of the handler.
 func (p *response) WriteHeader(status int) {
-	if p.status == 0 {
+	switch {
+	case p.status != 0 || header.IsInterim(status):
+	case header.IsFinal(status):
 		p.status = status
+	default:
+		p.status = http.StatusBadGateway
 	}
 }
 
--- a/internal/gate/sender/sender.go
+++ b/internal/gate/sender/sender.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"dandelionrock.example/dandelionrock/internal/gate/depot"
+	"dandelionrock.example/dandelionrock/internal/header"
 	"dandelionrock.example/dandelionrock/platform"
 	"dandelionrock.example/dandelionrock/schema"
 	"github.com/cockroachdb/errors"
@@ -325,9 +326,12 @@
 		if w, err = http.ReadResponse(k.r, q); err != nil {
 			return nil, false, errors.Wrap(err, "read response")
 		}
-		if w.StatusCode >= http.StatusOK {
+		if header.IsFinal(w.StatusCode) {
 			break
 		}
+		if !header.IsInterim(w.StatusCode) {
+			return nil, false, errors.Newf("response has status %q", w.Status)
+		}
 	}
 	defer w.Body.Close()
 	// Framing may take as many bytes as the body, and those of a head.
--- a/internal/home/answer.go
+++ b/internal/home/answer.go
@@ -15,8 +15,6 @@
 func (u *Upstream) readBody(a *http.Response, method string) ([]byte, string) {
 	n, maxBytes := a.ContentLength, u.options.MaxAnswer
 	switch {
-	case a.StatusCode < 200:
-		return nil, reasonInterrupted
 	case method == http.MethodHead || a.StatusCode == http.StatusNoContent || a.StatusCode == http.StatusNotModified:
 		return nil, ""
 	case n > maxBytes:
--- a/internal/home/upstream.go
+++ b/internal/home/upstream.go
@@ -34,6 +34,7 @@
 	reasonOversized      = "answer-too-large"
 	reasonInterrupted    = "upstream-interrupted"
 	reasonUnknownRefusal = "unrecognised-refusal"
+	reasonStatus         = "invalid-status"
 )
 
 // maxAnswerHeader is the maximum size of the headers of an answer in bytes.
@@ -199,6 +200,10 @@
 		return x.failureOutcome(c, err)
 	}
 	defer a.Body.Close()
+	if !header.IsFinal(a.StatusCode) {
+		x.abort()
+		return unknown(reasonStatus)
+	}
 	if v := a.Header[header.RequestID]; len(v) != 1 || v[0] != q.RequestId {
 		x.abort()
 		return unknown(reasonMismatch)
--- a/internal/home/upstream_test.go
+++ b/internal/home/upstream_test.go
@@ -110,6 +110,10 @@
 		{"too large", answerHead + "Content-Length: 9\r\n\r\n123456789", "unknown answer-too-large"},
 		{"too large in chunks", answerHead + "Transfer-Encoding: chunked\r\n\r\n9\r\n123456789\r\n0\r\n\r\n", "unknown answer-too-large"},
 		{"no length", answerHead + "\r\nok", "unknown answer-truncated"},
+		{"status 000", strings.Replace(completeAnswer, "200", "000", 1), "unknown invalid-status"},
+		{"status 101", strings.Replace(completeAnswer, "200", "101", 1), "unknown invalid-status"},
+		{"status 600", strings.Replace(completeAnswer, "200", "600", 1), "unknown invalid-status"},
+		{"refusal with status 999", strings.Replace(answerHead, "200", "999", 1) + "Dandelionrock-Refused: shed\r\nContent-Length: 0\r\n\r\n", "unknown invalid-status"},
 		{"connection closed", "", "unknown upstream-interrupted"},
 		{"no answer before the deadline", "wait", "unknown deadline"},
 	} {
