--- a/internal/gate/entry/call.go
+++ b/internal/gate/entry/call.go
@@ -39,7 +39,10 @@
 	}
 	err := e.call(c, h, q.account, m, a)
 	e.endCall(m.Call)
-	q.crossed = q.crossed || i.Region != e.Self.Region && !errors.Is(err, relay.ErrNotSent)
+	if i.Region != e.Self.Region && !errors.Is(err, relay.ErrNotSent) {
+		q.crossed = true
+		e.Meter.Crossed(k.Service, len(m.Body), len(a.Body))
+	}
 	if err == nil && group.Unavailable(a.Reason) && e.Alive.Suspect(i) {
 		e.Log.Info().Str("event", "instance-unavailable").Str("peer", i.ID).Str("reason", a.Reason).Str("request", m.AttemptId).Msg("")
 	}
--- a/internal/gate/meter/meter.go
+++ b/internal/gate/meter/meter.go
@@ -115,6 +115,15 @@
 	}
 }
 
+// Crossed counts a request that was sent to another region, with the lengths in bytes of
+// its body and of the body of the response.
+func (m *Meter) Crossed(service string, request, response int) {
+	s := m.scope.Tagged(map[string]string{"service": service})
+	s.Counter("region_calls").Inc(1)
+	s.Counter("region_request_bytes").Inc(int64(request))
+	s.Counter("region_response_bytes").Inc(int64(response))
+}
+
 // Returned counts a request of a client that had tried before, by the outcome of this
 // try as in Request.
 func (m *Meter) Returned(service, outcome string) {
