--- a/internal/gate/depot/held.go
+++ b/internal/gate/depot/held.go
@@ -104,7 +104,7 @@
 }
 
 // Write records that a write to the connection begins, or that the client has taken a part
-// of it, and Written that it has ended.
+// of it.
 func (t *Tab) Write() {
 	if t == nil {
 		return
--- a/internal/plan/unread/unread.go
+++ b/internal/plan/unread/unread.go
@@ -31,6 +31,8 @@
 	// baseTime is added to the time for which a client has taken nothing, so that among
 	// connections that make progress the bytes decide.
 	baseTime = time.Millisecond
+	// searchInterval is the time after a search that found no connection to close.
+	searchInterval = minBlocked / 10
 )
 
 // Victim is a connection to close.
@@ -51,6 +53,8 @@
 	// of it that belongs to connections that Next has returned.
 	total, leaving Bytes
 	conns          map[ID]*conn
+	// searchAt is when the connections are searched next, unless the ledger is full.
+	searchAt clock.Time
 }
 
 // conn is a connection that holds bytes or is written to.
@@ -118,7 +122,7 @@
 // that holds most bytes for longest pays first. Within the limit only those pay whose
 // clients take nothing.
 func (l *Ledger) Next(now clock.Time) (Victim, bool) {
-	if float64(l.total-l.leaving) <= blockedShare*float64(l.limit) {
+	if float64(l.total-l.leaving) <= blockedShare*float64(l.limit) || now < l.searchAt && !l.Full() {
 		return Victim{}, false
 	}
 	var most float64
@@ -137,6 +141,7 @@
 		}
 	}
 	if most == 0 {
+		l.searchAt = now.Add(searchInterval)
 		return Victim{}, false
 	}
 	c := l.conns[v.ID]
