health, group, pace: targets in slow spells are checked for the end of the spell

Requests that wait for the end of a slow spell begin when a reading shows it. Nobody runs at a target that is held, so that its last readings grow old and the wait ends by estimate. The home now checks such targets ten times a second while requests wait, and takes readings from all checks of targets. The time to notice the end of a spell is found out as well.

--- a/internal/gate/group/execute.go
+++ b/internal/gate/group/execute.go
@@ -8,7 +8,6 @@
 	"dandelionrock.example/dandelionrock/internal/gate/sender"
 	"dandelionrock.example/dandelionrock/internal/gate/warden"
 	"dandelionrock.example/dandelionrock/internal/plan/hazard"
-	"dandelionrock.example/dandelionrock/internal/plan/pace"
 	"dandelionrock.example/dandelionrock/internal/plan/pool"
 	"dandelionrock.example/dandelionrock/internal/plan/quota"
 	"dandelionrock.example/dandelionrock/platform"
@@ -79,7 +78,7 @@
 		a.Reason = ReasonLeaving
 	}
 	if w != nil {
-		h.recordPace(g, q, t, w)
+		h.recordLoad(g, q, t, w)
 		h.recordLimit(g, q, t, w)
 		h.recordRetryAfter(g, q, t, w)
 		if platform.Leaves(w.Header) {
@@ -135,26 +134,6 @@
 	return pool.Answered
 }
 
-// recordPace records the pace that a target states in a response.
-func (h *Homes) recordPace(g *home, q *schema.SendRequest, t *platform.Target, w *sender.Response) {
-	l, _, err := platform.LoadOf(w.Header)
-	if err != nil {
-		h.log.Warn().Str("event", "load-ignored").Str("request", q.AttemptId).Str("target", t.ID).Err(err).Msg("")
-		return
-	}
-	if l.Pace == 0 {
-		return
-	}
-	g.mu.Lock()
-	p, changed := g.pool.State(clock.Boot(), t.ID, t.Born, pace.Factor(l.Pace))
-	g.mu.Unlock()
-	if changed {
-		h.log.Debug().Str("event", "target-pace").Str("request", q.AttemptId).Str("service", q.Service).Str("target", t.ID).Float64("factor", l.Pace).
-			Bool("slow", p.Slow).Bool("held", p.Held).Bool("lies", p.Lies).Dur("mean", p.Mean).Msg("")
-		h.meter.Pace(q.Service, p.Slow, p.Held)
-	}
-}
-
 // recordLimit records the limit that a target names in a response. A rejection
 // without a limit is no sign that the limit is lifted, since a target may send it
 // without consulting its load.
--- a/internal/gate/group/group.go
+++ b/internal/gate/group/group.go
@@ -287,20 +287,6 @@
 	maps.DeleteFunc(g.crashes, func(n hazard.Run, _ *crash) bool { t := g.targets[n.Target]; return t == nil || t.Born != n.Born })
 }
 
-// SetCold records for how long a run of a target has said that it stays cold.
-func (h *Homes) SetCold(k ID, t *platform.Target, left time.Duration) {
-	g := h.home(k)
-	g.mu.Lock()
-	now := clock.Boot()
-	g.updateTargets(now, h.views.View())
-	changed := g.pool.SetCold(now, t.ID, t.Born, left)
-	g.mu.Unlock()
-	if changed {
-		h.log.Info().Str("event", "target-cold").Str("service", k.Service).Str("target", t.ID).Bool("cold", left > 0).Dur("left", left).Msg("")
-		h.meter.Cold(k.Service, left > 0)
-	}
-}
-
 // warmupRate returns the rate of requests that each cold target of a service takes.
 func warmupRate(v *view.View, service string) quota.Rate {
 	if v.Desired == nil || v.Desired.Services[service].WarmupRate == 0 {
--- a/internal/gate/health/health.go
+++ b/internal/gate/health/health.go
@@ -1,6 +1,7 @@
 // Package health checks the targets that may become cold at any moment. The home of a
 // target checks it and bounds its requests from then on; the target's row in the store
-// would say so one or two seconds later.
+// would say so one or two seconds later. It also checks targets in slow spells, from which
+// requests are held back, for the end of the spell.
 package health
 
 import (
@@ -19,6 +20,8 @@
 	// Interval is the time between two checks of a target. A target that turns cold gets
 	// requests without a bound for so long at most.
 	Interval = 500 * time.Millisecond
+	// heldInterval is the time between two checks of a target in a slow spell.
+	heldInterval = 100 * time.Millisecond
 	// timeout bounds one check. Targets answer checks at once.
 	timeout = 400 * time.Millisecond
 )
@@ -28,11 +31,13 @@
 	Views group.Views
 	// IsHome reports whether this instance is the home of a group at a failure domain.
 	IsHome func(k group.ID, failureDomain string) bool
-	// Cold is called after each check with the time for which the target stays cold.
-	Cold  func(k group.ID, t *platform.Target, left time.Duration)
-	Check func(context.Context, platform.Endpoint, string) (platform.Health, error)
-	Log   zerolog.Logger
-	Guard *guard.Guard
+	// Held returns the targets from which requests are held back in slow spells.
+	Held func() []group.Member
+	// Checked is called with each answer to a check.
+	Checked func(m group.Member, h platform.Health)
+	Check   func(context.Context, platform.Endpoint, string) (platform.Health, error)
+	Log     zerolog.Logger
+	Guard   *guard.Guard
 }
 
 // Checker checks targets. Use New.
@@ -51,6 +56,7 @@
 // Run checks the targets of this instance until c ends, and waits for the checks in
 // progress.
 func (k *Checker) Run(c context.Context) {
+	k.group.Go(func() { clock.Every(c, heldInterval, func() { k.checkHeld(c) }) })
 	clock.Every(c, Interval, func() { k.checkAll(c) })
 	k.group.Wait()
 }
@@ -68,16 +74,33 @@
 		}
 		for _, t := range v.Services[s.Name] {
 			id := group.IDOf(s, t)
-			if t.Open() && k.IsHome(id, t.FailureDomain) && k.begin(t) {
-				k.group.Go(func() {
-					defer k.end(t)
-					k.Guard.Once("health", func() { k.check(c, id, t, s.HealthPath) })
-				})
+			if t.Open() && k.IsHome(id, t.FailureDomain) {
+				k.start(c, group.Member{Group: id, Target: t}, s.HealthPath)
 			}
 		}
 	}
 }
 
+// checkHeld starts the checks of targets in slow spells.
+func (k *Checker) checkHeld(c context.Context) {
+	for _, m := range k.Held() {
+		if d := k.Views.View().Desired; d != nil && d.Services[m.Group.Service].HealthPath != "" {
+			k.start(c, m, d.Services[m.Group.Service].HealthPath)
+		}
+	}
+}
+
+// start starts a check of a target, unless one is in progress.
+func (k *Checker) start(c context.Context, m group.Member, path string) {
+	if !k.begin(m.Target) {
+		return
+	}
+	k.group.Go(func() {
+		defer k.end(m.Target)
+		k.Guard.Once("health", func() { k.check(c, m, path) })
+	})
+}
+
 func (k *Checker) begin(t *platform.Target) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -95,13 +118,13 @@
 }
 
 // check checks one target. One that doesn't answer says nothing about its warm-up.
-func (k *Checker) check(c context.Context, id group.ID, t *platform.Target, path string) {
+func (k *Checker) check(c context.Context, m group.Member, path string) {
 	c, stop := context.WithTimeout(c, timeout)
 	defer stop()
-	h, err := k.Check(c, t.Endpoint(), path)
+	h, err := k.Check(c, m.Target.Endpoint(), path)
 	if err != nil {
-		k.Log.Debug().Str("event", "check-failed").Str("target", t.ID).Err(err).Msg("")
+		k.Log.Debug().Str("event", "check-failed").Str("target", m.Target.ID).Err(err).Msg("")
 		return
 	}
-	k.Cold(id, t, h.Cold)
+	k.Checked(m, h)
 }
--- a/internal/gate/router/router.go
+++ b/internal/gate/router/router.go
@@ -175,7 +175,7 @@
 	})
 	n.prober = platform.NewProber(probeIdle)
 	n.checker = health.New(health.Options{
-		Views: n.syncer, IsHome: n.entry.IsHome, Cold: n.homes.SetCold, Check: n.prober.Check, Log: l, Guard: n.guard,
+		Views: n.syncer, IsHome: n.entry.IsHome, Held: n.homes.Held, Checked: n.homes.Checked, Check: n.prober.Check, Log: l, Guard: n.guard,
 	})
 	return n
 }
--- a/internal/plan/pace/pace.go
+++ b/internal/plan/pace/pace.go
@@ -46,8 +46,9 @@
 	// maxHold bounds the time for which requests are held back in one spell, and the time
 	// that counts between two readings.
 	maxHold = time.Second
-	// noticeTime is the expected time from the end of a spell to a reading that shows it.
-	noticeTime = 100 * time.Millisecond
+	// firstNotice is the time from the end of a spell to a reading that shows it that is
+	// assumed before any has been seen.
+	firstNotice = 100 * time.Millisecond
 	// lieRatio is the ratio of the errors with and without the stated factors from which
 	// these are ignored.
 	lieRatio = 1.2
@@ -83,6 +84,8 @@
 	// less weight the longer ago; their quotient is the mean rest of a spell.
 	slowTime time.Duration
 	ends     float64
+	// notice is the mean time from the end of a spell to a reading that shows it.
+	notice time.Duration
 }
 
 // State records the factor that the target states. It reports whether the target has become
@@ -92,7 +95,7 @@
 	if n := len(f.readings); n > 0 {
 		last = f.readings[n-1]
 	} else {
-		f.excess, f.slowTime, f.ends = 1, firstEnds*firstSpell, firstEnds
+		f.excess, f.slowTime, f.ends, f.notice = 1, firstEnds*firstSpell, firstEnds, firstNotice
 	}
 	f.readings = append(f.readings, reading{now, x})
 	old, _ := slices.BinarySearchFunc(f.readings, now.Add(-window), func(r reading, t clock.Time) int { return cmp.Compare(r.at, t) })
@@ -149,6 +152,7 @@
 		// The spell ended between the two readings.
 		f.slowTime = time.Duration((1 - endWeight) * float64(f.slowTime+gap/2))
 		f.ends = (1 - endWeight) * (f.ends + 1)
+		f.notice += time.Duration(endWeight * float64(gap/2-f.notice))
 		f.slowSince = 0
 	}
 	return true
@@ -221,6 +225,6 @@
 		return false
 	}
 	excess := float64(f.work) * float64(f.last().factor-f.usual)
-	rest := float64(f.slowTime)/f.ends + float64(noticeTime)
+	rest := float64(f.slowTime)/f.ends + float64(f.notice)
 	return float64(now.Sub(f.last().at)) < rest*math.Log(excess/rest)
 }
--- a/internal/plan/pool/found.go
+++ b/internal/plan/pool/found.go
@@ -28,6 +28,21 @@
 	return Pace{m.finder.Slow(), m.finder.Hold(now), m.finder.Lies(), m.finder.Mean()}, changed
 }
 
+// Held returns the targets from which requests are held back in a slow spell although they
+// have free slots.
+func (p *Pool) Held(now clock.Time) []string {
+	if len(p.waiting) == 0 {
+		return nil
+	}
+	var out []string
+	for _, m := range p.members {
+		if m.running < m.Slots && m.finder.Hold(now) {
+			out = append(out, m.ID)
+		}
+	}
+	return out
+}
+
 // answered records the service time of a request at m.
 func (p *Pool) answered(now clock.Time, m *member, took time.Duration) {
 	m.failures = 0
