--- a/internal/gate/group/targets.go
+++ b/internal/gate/group/targets.go
@@ -102,17 +102,3 @@
 	}
 	return quota.Rate(v.Desired.Services[service].WarmupRate)
 }
-
-// SetCold records for how long a run of a target has said that it stays cold.
-func (h *Homes) SetCold(k ID, t *platform.Target, left time.Duration) {
-	g := h.home(k)
-	g.mu.Lock()
-	now := clock.Boot()
-	h.updateTargets(g, now, h.views.View())
-	changed := g.pool.SetCold(now, t.ID, t.Born, left)
-	g.mu.Unlock()
-	if changed {
-		h.log.Info().Str("event", "target-cold").Str("service", k.Service).Str("target", t.ID).Bool("cold", left > 0).Dur("left", left).Msg("")
-		h.meter.Cold(k.Service, left > 0)
-	}
-}
--- a/internal/gate/group/targets_test.go
+++ b/internal/gate/group/targets_test.go
@@ -56,7 +56,7 @@
 	if n := started(); n > 1 {
 		t.Errorf("%d requests start at a target whose domain was taken back", n)
 	}
-	h.SetCold(id, views.v.Targets["t"], 0)
+	h.Checked(Member{id, views.v.Targets["t"]}, platform.Health{ID: "t", Healthy: true})
 	set(views.v.WithTargets([]mirror.Change{{Key: "u"}}))
 	if n := started(); n != 20 {
 		t.Errorf("%d of 20 requests start after a check found the target warm", n)
--- a/internal/gate/health/health_test.go
+++ b/internal/gate/health/health_test.go
@@ -39,10 +39,11 @@
 		k := New(Options{
 			Views: fixedView{v}, IsHome: func(_ group.ID, domain string) bool { return domain == "" }, Log: l,
 			Guard: guard.New(l, func(string) {}, func() {}),
-			Cold: func(_ group.ID, t *platform.Target, left time.Duration) {
+			Held:  func() []group.Member { return nil },
+			Checked: func(m group.Member, h platform.Health) {
 				mu.Lock()
 				defer mu.Unlock()
-				told[t.ID] = left
+				told[m.Target.ID] = h.Cold
 			},
 			Check: func(c context.Context, e platform.Endpoint, _ string) (platform.Health, error) {
 				mu.Lock()
