--- a/internal/gate/entry/request.go
+++ b/internal/gate/entry/request.go
@@ -34,9 +34,6 @@
 	// retryAfterNoTarget is the Retry-After if no target could run the request,
 	// for example while its key has no owner.
 	retryAfterNoTarget = 300 * time.Millisecond
-	// retryAfterBusy is the Retry-After of a request that a target rejected although it had
-	// free slots: another try may be taken at once, and is to be in time.
-	retryAfterBusy = 150 * time.Millisecond
 	// retryAfterUnserved is the Retry-After if the home was unreachable or the
 	// deadline passed.
 	retryAfterUnserved = 200 * time.Millisecond
@@ -181,7 +178,7 @@
 		return q.unsent < maxUnsent
 	case schema.SendOutcome_SEND_OUTCOME_REJECTED:
 		q.sent++
-		q.fail(http.StatusServiceUnavailable, a.Reason, retryAfterRejection(a.Load))
+		q.fail(http.StatusServiceUnavailable, a.Reason, retryAfterNoTarget)
 		if q.service.Keyed && a.Status != http.StatusMisdirectedRequest {
 			// The owner is the only target that can run the request and may have a
 			// free slot by then: don't exclude it.
@@ -203,15 +200,6 @@
 	return q.route.Idempotent && q.mayRetry(a)
 }
 
-// retryAfterRejection returns the Retry-After of a request that a target rejected, given the
-// load of its group.
-func retryAfterRejection(l *schema.GroupLoad) time.Duration {
-	if l != nil && l.Running+l.Waiting < l.Slots {
-		return retryAfterBusy
-	}
-	return retryAfterNoTarget
-}
-
 // excludeID returns the entry of exclude for the target of a reply.
 func (q *request) excludeID(a *schema.SendReply) string {
 	if !q.service.Keyed {
