--- a/internal/gate/keeper/change.go
+++ b/internal/gate/keeper/change.go
@@ -21,7 +21,7 @@
 	// commitDelay is the time after the first release of a change, or after a commit, in
 	// which further keys become free to be committed together: each commit is a call to
 	// the store.
-	commitDelay = 60 * time.Millisecond
+	commitDelay = 100 * time.Millisecond
 	// maxAnnounceDelay is the longest time for which the announcement of new owners waits
 	// for the answers to their grants.
 	maxAnnounceDelay = 150 * time.Millisecond
@@ -116,6 +116,11 @@
 		<-granted
 		n, took := countKeys(changed), clock.Boot().Sub(begin)
 		k.meter.KeysMoved(k.service, why, n, took)
+		if why == whyBalance {
+			for _, m := range freed {
+				k.meter.KeyRelieved(k.service, took+time.Duration(m.Observations+1)*rebalanceInterval)
+			}
+		}
 		k.log.Info().Str("event", "keys-moved").Uint64("epoch", epoch).Str("why", why).Int("ranges", len(changed)).
 			Int("keys", n).Dur("took", took).Msg("")
 	})
--- a/internal/gate/keeper/keeper.go
+++ b/internal/gate/keeper/keeper.go
@@ -172,7 +172,7 @@
 
 // balancer plans moves that balance the load; see keys.Balancer.
 type balancer interface {
-	Plan(r keys.Ranges, m []keys.Member, l *keys.Rates, maxMoves int) []keys.Move
+	Plan(r, coming keys.Ranges, m []keys.Member, l *keys.Rates, maxMoves int) []keys.Move
 }
 
 // Options are the dependencies and settings of a keeper.
--- a/internal/gate/keeper/move.go
+++ b/internal/gate/keeper/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -115,8 +116,8 @@
 	if !answers {
 		return
 	}
-	moves := k.balancer.Plan(a.ranges, a.members, a.rates, max(minMoveLimit, len(a.members)/targetsPerMove))
-	highest, mean := keys.Utilisation(a.ranges, a.members, a.rates)
+	moves := k.balancer.Plan(a.ranges, a.coming, a.members, a.rates, max(minMoveLimit, len(a.members)/targetsPerMove))
+	highest, mean := keys.Utilisation(slices.Concat(a.ranges, a.coming), a.members, a.rates)
 	k.meter.Utilisation(k.service, highest, mean)
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/gate/meter/meter.go
+++ b/internal/gate/meter/meter.go
@@ -140,6 +140,12 @@
 	s.Histogram("key_move_time", latencyBuckets).RecordDuration(took)
 }
 
+// KeyRelieved records the time from a change of the load, after which the owner of a range
+// of keys was overloaded, to the grant of the range to its next owner.
+func (m *Meter) KeyRelieved(service string, took time.Duration) {
+	m.scope.Tagged(map[string]string{"service": service}).Histogram("key_relief_time", latencyBuckets).RecordDuration(took)
+}
+
 // Utilisation sets the highest and the mean utilisation of the targets that own the
 // keys of a service, as its keeper estimates them.
 func (m *Meter) Utilisation(service string, highest, mean float64) {
--- a/internal/plan/keys/plan.go
+++ b/internal/plan/keys/plan.go
@@ -15,6 +15,9 @@
 	// Target and Born identify the next owner.
 	Target string
 	Born   int64
+	// Observations counts the consecutive plans before this one in which the present owner
+	// was overloaded.
+	Observations int
 }
 
 const (
@@ -109,7 +112,11 @@
 	}
 	p.loads[to] += p.rate(r) / p.members[to].Weight
 	p.rangeCounts[to]++
-	p.moves = append(p.moves, Move{r, p.members[to].ID, p.members[to].Born})
+	n := Move{Range: r, Target: p.members[to].ID, Born: p.members[to].Born}
+	if i := p.index(r); i >= 0 {
+		n.Observations = p.observations[i]
+	}
+	p.moves = append(p.moves, n)
 }
 
 // Utilisation returns the highest and the mean utilisation of the members.
@@ -141,7 +148,7 @@
 	if len(r) == 0 {
 		var moves []Move
 		for _, n := range Initial(m, 0) {
-			moves = append(moves, Move{&schema.KeyRange{From: n.From, To: n.To}, n.Target, n.Born})
+			moves = append(moves, Move{Range: &schema.KeyRange{From: n.From, To: n.To}, Target: n.Target, Born: n.Born})
 		}
 		return moves
 	}
@@ -193,12 +200,14 @@
 
 // Plan returns moves from the members with the highest utilisation to those with
 // the lowest, as long as each gains enough, until there are maxMoves. Ranges whose
-// owners are not members don't move. It is called at about equal intervals.
-func (b *Balancer) Plan(r Ranges, m []Member, l *Rates, maxMoves int) []Move {
+// owners are not members don't move. coming holds the keys that are being moved, with
+// their next owners. It is called at about equal intervals.
+func (b *Balancer) Plan(r, coming Ranges, m []Member, l *Rates, maxMoves int) []Move {
 	if len(m) < 2 {
 		return nil
 	}
-	p := newPlan(r, m, l)
+	p := newPlan(slices.Concat(r, coming), m, l)
+	p.ranges = r
 	observed, bound := map[string]int{}, p.overloadBound()
 	for i, v := range m {
 		if p.loads[i] > bound {
@@ -219,6 +228,7 @@
 			stuck[high] = true
 		}
 	}
+	p.fillEmpty(maxMoves)
 	return p.moves
 }
 
@@ -314,12 +324,18 @@
 		return false
 	}
 	p.move(n, low)
-	p.rangeCounts[high]++
-	// Keys move at most once in a plan: all its grants carry one fence.
-	p.ranges = p.ranges.Without(n.From, n.To)
+	p.take(high, n)
 	return true
 }
 
+// take takes keys that move from the ranges of a member. Keys move at most once in a plan:
+// all its grants carry one fence.
+func (p *plan) take(owner int, n *schema.KeyRange) {
+	rest := p.ranges.Without(n.From, n.To)
+	p.rangeCounts[owner] += len(rest) - len(p.ranges)
+	p.ranges = rest
+}
+
 // selectKeys returns adjacent keys of a member with the highest request rate up to
 // want, or nil. A key that alone exceeds want stays where it is.
 func (p *plan) selectKeys(owner int, want float64) *schema.KeyRange {
