place: the wait that is accepted for staying in the region depends on the own region alone

The time to spare was reckoned with the mean service time of the other region's group, so that of two other regions the one with the slower targets was preferred. A test fails on the code before.

--- a/internal/plan/place/place.go
+++ b/internal/plan/place/place.go
@@ -41,9 +41,9 @@
 }
 
 // penalty returns the additional wait that is accepted before the request goes to a
-// domain at a distance, given the mean service time. A response in time gains nothing
-// from a shorter wait, so that up to half of the time to spare is spent on staying in the
-// region; the rest allows for wrong estimates.
+// domain at a distance, given the mean service time in its own region. A response in time
+// gains nothing from a shorter wait, so that up to half of the time to spare is spent on
+// staying in the region; the rest allows for wrong estimates.
 func (r Request) penalty(now clock.Time, d Distance, mean time.Duration) time.Duration {
 	switch d {
 	case Same:
@@ -124,9 +124,10 @@
 	var best Candidate
 	var bestCost time.Duration
 	found := false
+	near := l.longestMean(cs)
 	for _, c := range cs {
 		wait, mean := l.expectedWait(now, c)
-		cost := wait + r.penalty(now, c.Distance, mean)
+		cost := wait + r.penalty(now, c.Distance, near)
 		if now.Add(wait+mean) > r.Deadline {
 			cost += tooLate
 		}
@@ -137,6 +138,18 @@
 	return best, found
 }
 
+// longestMean returns the longest mean service time of the candidates in the own region,
+// 0 if none is known.
+func (l *Loads) longestMean(cs []Candidate) time.Duration {
+	var d time.Duration
+	for _, c := range cs {
+		if r := l.groups[groupID{c.Service, c.Domain}]; r != nil && c.Distance != Far {
+			d = max(d, r.load.Mean)
+		}
+	}
+	return d
+}
+
 // tooLate is more than any wait that is accepted.
 const tooLate = 24 * time.Hour
 
--- a/internal/plan/place/place_test.go
+++ b/internal/plan/place/place_test.go
@@ -48,6 +48,21 @@
 	}
 }
 
+// A request bound to other regions. Guards against a group that is preferred because its
+// targets are slow.
+func TestSlowFarGroup(t *testing.T) {
+	var l Loads
+	now := clock.Time(time.Hour)
+	for d, mean := range map[string]time.Duration{"slow": 900 * time.Millisecond, "fast": 300 * time.Millisecond} {
+		l.Begin("s", d)
+		l.End(now, "s", d, &pool.Load{Slots: 4, Running: 4, Mean: mean})
+	}
+	r := Request{Objective: now.Add(1500 * time.Millisecond), Deadline: now.Add(6 * time.Second)}
+	if got, _ := l.Choose(now, r, []Candidate{{"s", "slow", Far, 4}, {"s", "fast", Far, 4}}); got.Domain != "fast" {
+		t.Errorf("Choose() = %+v", got)
+	}
+}
+
 // Guards against a reported load that still counts long after it was reported.
 func TestLoadIsForgotten(t *testing.T) {
 	var l Loads
