--- a/internal/gate/warden/warden.go
+++ b/internal/gate/warden/warden.go
@@ -257,10 +257,7 @@
 
 // Acquit receives from another instance that a request was answered.
 func (w *Warden) Acquit(q *schema.AnsweredRequest) {
-	id, ok := idOf(q.Identity)
-	if !ok {
-		return
-	}
+	id, _ := idOf(q.Identity)
 	var runs []hazard.Run
 	for _, r := range q.Cleared {
 		runs = append(runs, hazard.Run{Target: r.GetTarget(), Born: r.GetBorn()})
