--- a/internal/plan/pool/found_test.go
+++ b/internal/plan/pool/found_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"bytes"
-	"container/heap"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -14,74 +12,14 @@
 	"github.com/sebdah/goldie/v2"
 )
 
-// shared is a target on a machine that is shared with others: in a fifth of the time slices
-// its work takes three times as long.
-type shared struct {
-	seed  uint64
-	speed float64
-}
-
-const slice = 400 * time.Millisecond
-
-func (s shared) factor(now clock.Time) float64 {
-	if rand.New(rand.NewPCG(s.seed, uint64(time.Duration(now)/slice))).Float64() < 0.2 {
-		return 3 * s.speed
-	}
-	return s.speed
-}
-
-// played counts the requests of a play.
-type played struct{ offered, inTime, late, refused int }
-
-// play offers requests at a rate to a target with six slots, which states its pace if states
-// is set.
-func (s shared) play(perSecond float64, states bool, o *played) {
-	const aim, deadline = time.Second, 8 * time.Second
-	var p Pool
-	p.SetTargets([]Target{{ID: "t", Slots: 6}})
-	arrivals, works := rand.New(rand.NewPCG(s.seed, 1)), rand.New(rand.NewPCG(s.seed, 2))
-	var busy finishes
-	begin := map[ID]clock.Time{}
-	now := clock.Time(time.Minute)
-	end, next := now.Add(30*time.Second), now
-	handle := func(d Decision) {
-		if d.Verdict == Refuse {
-			o.refused++
-		}
-		if d.Verdict == Start {
-			took := 350 * float64(time.Millisecond) * math.Exp(0.3*works.NormFloat64()-0.045) * s.factor(now)
-			heap.Push(&busy, finish{at: now.Add(time.Duration(took)), begin: now, first: begin[d.ID]})
-		}
-	}
-	for tick := now; next < end || len(busy) > 0; {
-		switch {
-		case len(busy) > 0 && busy[0].at <= min(next, tick):
-			f := heap.Pop(&busy).(finish)
-			now = f.at
-			if states {
-				p.State(now, "t", 0, pace.Factor(s.factor(now)))
-			}
-			p.Done(now, "t", 0, now.Sub(f.begin), Answered)
-			if now.Sub(f.first) <= aim {
-				o.inTime++
-			} else {
-				o.late++
-			}
-		case tick <= next:
-			now, tick = tick, tick.Add(10*time.Millisecond)
-		default:
-			now, next = next, next.Add(time.Duration(arrivals.ExpFloat64()/perSecond*float64(time.Second)))
-			if next >= end {
-				next = math.MaxInt64
-			}
-			o.offered++
-			id := ID(o.offered)
-			begin[id] = now
-			handle(p.Offer(now, Request{ID: id, Begin: now, Objective: now.Add(aim), Deadline: now.Add(deadline)}))
-		}
-		for _, d := range p.Next(now) {
-			handle(d)
+// sharedMachine returns a factor that is three times the usual one in a fifth of the slices
+// of 400 ms.
+func sharedMachine(seed uint64, usual pace.Factor) func(clock.Time) pace.Factor {
+	return func(now clock.Time) pace.Factor {
+		if rand.New(rand.NewPCG(seed, uint64(time.Duration(now)/(400*time.Millisecond)))).Float64() < 0.2 {
+			return 3 * usual
 		}
+		return usual
 	}
 }
 
@@ -89,19 +27,24 @@
 // loads. Guards against requests that begin in slow spells although they would end earlier
 // after them, and against holds that cost more than they gain.
 func TestSlowSpells(t *testing.T) {
+	const work = 350 * time.Millisecond
+	play := func(usual pace.Factor, load float64, states bool) float64 {
+		var inTime, offered int
+		for seed := range uint64(20) {
+			s := newSimulation(t, []server{{id: "t", slots: 6, serviceTime: work, factor: sharedMachine(seed, usual), states: states}})
+			s.random, s.objective, s.deadline, s.retries = rand.New(rand.NewPCG(seed, 7)), time.Second, 8*time.Second, 0
+			s.run(load*6/work.Seconds()/float64(usual)/1.4, 30*time.Second)
+			inTime, offered = inTime+s.inTime, offered+s.offered
+		}
+		return float64(inTime) / float64(offered)
+	}
 	var b bytes.Buffer
-	for _, speed := range []float64{0.7, 1.6} {
+	for _, usual := range []pace.Factor{0.7, 1.6} {
 		for _, load := range []float64{0.6, 0.8, 1, 1.3} {
-			var o [2]played
-			for i, states := range []bool{false, true} {
-				for seed := range uint64(20) {
-					shared{seed, speed}.play(load*6/0.35/speed/1.4, states, &o[i])
-				}
-			}
-			share := func(o played) float64 { return float64(o.inTime) / float64(o.offered) }
-			fmt.Fprintf(&b, "factor %v, load %v: %.2f in time, with stated pace %.2f\n", speed, load, share(o[0]), share(o[1]))
-			if share(o[1]) < share(o[0])-0.01 {
-				t.Errorf("factor %v, load %v: %.3f are in time with stated pace, %.3f without", speed, load, share(o[1]), share(o[0]))
+			without, with := play(usual, load, false), play(usual, load, true)
+			fmt.Fprintf(&b, "factor %v, load %v: %.2f in time, with stated pace %.2f\n", usual, load, without, with)
+			if with < without-0.01 {
+				t.Errorf("factor %v, load %v: %.3f are in time with stated pace, %.3f without", usual, load, with, without)
 			}
 		}
 	}
--- a/internal/plan/pool/pool_test.go
+++ b/internal/plan/pool/pool_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dandelionrock.example/dandelionrock/clock"
+	"dandelionrock.example/dandelionrock/internal/plan/pace"
 )
 
 // server is a target of a simulation.
@@ -17,6 +18,10 @@
 	// serviceTime is its mean service time.
 	serviceTime time.Duration
 	cold        bool
+	// factor multiplies the service time of a request that begins at a time, if it is set;
+	// states is set if the target states it.
+	factor func(clock.Time) pace.Factor
+	states bool
 }
 
 // arrival is a request of a simulation.
@@ -163,6 +168,9 @@
 	case Start:
 		s := r.servers[d.Target]
 		took := time.Duration(float64(s.serviceTime) * (0.6 + 0.8*r.random.Float64()))
+		if s.factor != nil {
+			took = time.Duration(float64(took) * float64(s.factor(r.now)))
+		}
 		heap.Push(&r.inFlight, finish{r.now.Add(took), r.now, first, d.Target})
 		if n := r.running(d.Target); n > s.slots {
 			r.t.Fatalf("%d requests run at %s, which has %d slots", n, d.Target, s.slots)
@@ -195,6 +203,9 @@
 	} else {
 		r.late++
 	}
+	if s := r.servers[f.target]; s.states {
+		r.pool.State(r.now, f.target, 1, s.factor(r.now))
+	}
 	r.pool.Done(r.now, f.target, 1, f.at.Sub(f.begin), Answered)
 	r.dispatch()
 }
