--- a/internal/gate/entry/entry.go
+++ b/internal/gate/entry/entry.go
@@ -7,7 +7,6 @@
 	"math"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,6 +56,9 @@
 	// outdatedMargin is how much earlier than SetConfigApply says a configuration counts
 	// as outdated: a reader pauses for so long between two reads of it.
 	outdatedMargin = 200 * time.Millisecond
+	// maxConfigurationAge is more than the age of a copy of the configuration while reads of
+	// it end, which wait for a change for three seconds.
+	maxConfigurationAge = 4 * time.Second
 )
 
 // Options are the dependencies of an Entry.
@@ -207,9 +209,10 @@
 
 // mayBeOutdated reports whether a newer configuration may be in force, so that a route
 // that is missing here may exist. The reads of the targets count as well, since a reader
-// hears of a new configuration at once.
+// hears of a new configuration at once, unless its read of the configuration hangs.
 func (e *Entry) mayBeOutdated() bool {
-	return min(e.Age(), e.ConfigurationAge()) > time.Duration(e.configApply.Load())-outdatedMargin
+	age := e.ConfigurationAge()
+	return age > maxConfigurationAge || min(e.Age(), age) > time.Duration(e.configApply.Load())-outdatedMargin
 }
 
 // MayRunAhead implements hangup.Policy.
@@ -239,28 +242,6 @@
 	return retryAfterNoStore
 }
 
-// match returns the route of a request, or nil: of the routes of its host, the
-// one with the longest matching path prefix.
-func match(d *platform.Desired, r *http.Request) *platform.Route {
-	path, _, _ := strings.Cut(uri(r), "?")
-	var best *platform.Route
-	for i := range d.Routes {
-		n := &d.Routes[i]
-		if n.Host == r.Host && strings.HasPrefix(path, n.Prefix) && (best == nil || len(n.Prefix) > len(best.Prefix)) {
-			best = n
-		}
-	}
-	return best
-}
-
-// uri returns the request target as the client sent it, without scheme and host.
-func uri(r *http.Request) string {
-	if strings.HasPrefix(r.RequestURI, "/") {
-		return r.RequestURI
-	}
-	return r.URL.RequestURI()
-}
-
 // statedDeadline returns the deadline that a client states, or else the usual one.
 func statedDeadline(r *http.Request) (time.Duration, error) {
 	s := r.Header.Get(platform.HeaderDeadline)
--- a/internal/gate/entry/entry_test.go
+++ b/internal/gate/entry/entry_test.go
@@ -97,6 +97,7 @@
 		{0, 3 * time.Second, http.StatusNotFound},
 		{3 * time.Second, time.Second, http.StatusNotFound},
 		{3 * time.Second, 4 * time.Second, http.StatusServiceUnavailable},
+		{0, 5 * time.Second, http.StatusServiceUnavailable},
 	} {
 		e := newEntry(t, true)
 		e.Age, e.ConfigurationAge = func() time.Duration { return c.targets }, func() time.Duration { return c.configuration }
