keeper: a write of all fences takes the ranges as they are

No other change is in progress then, so that there is nothing to merge. Merging each range anew would take about a second with thousands of ranges.

--- a/internal/gate/keeper/change.go
+++ b/internal/gate/keeper/change.go
@@ -173,8 +173,8 @@
 	return change{k.takeovers, proto.CloneOf(k.row), storedAs(k.row, k.version)}
 }
 
-// applyChange makes a committed change the state of the keeper. Ranges other than those
-// that have changed keep the fences that were raised meanwhile. It reports false if the
+// applyChange makes a committed change the state of the keeper. If only some ranges have
+// changed, the others keep the fences that were raised meanwhile. It reports false if the
 // instance has stepped down or become the keeper anew since the change began.
 func (k *Keeper) applyChange(t change, version platform.Version, sent clock.Time, changed []*schema.KeyRange) bool {
 	k.mu.Lock()
@@ -183,7 +183,9 @@
 		return false
 	}
 	succeeded := version.Era() > t.old.version.Era() && k.mayHaveSuccessor(clock.Boot())
-	t.row.Ranges = keys.Ranges(k.row.Ranges).Replace(changed...)
+	if len(changed) > 0 {
+		t.row.Ranges = keys.Ranges(k.row.Ranges).Replace(changed...)
+	}
 	k.row, k.version, k.confirmed, k.raisedFences = t.row, version, max(k.confirmed, sent), 0
 	if succeeded {
 		k.awaitGrants(clock.Boot())
--- a/internal/gate/keeper/fence.go
+++ b/internal/gate/keeper/fence.go
@@ -121,7 +121,7 @@
 		t.row.Epoch = nextEpoch(t.row.Epoch, era)
 		t.row.Ranges = keys.Ranges(t.row.Ranges).Refence(firstFence(t.row.Epoch))
 		n, sent, err := k.commit(c, t.row, t.old, unlimitedRefusals)
-		if err != nil || !k.applyChange(t, n, sent, t.row.Ranges) {
+		if err != nil || !k.applyChange(t, n, sent, nil) {
 			k.log.Warn().Str("event", "refence-failed").Uint64("epoch", t.row.Epoch).Err(err).Msg("")
 			return
 		}
