--- a/internal/plan/keys/replay_test.go
+++ b/internal/plan/keys/replay_test.go
@@ -106,3 +106,19 @@
 		})
 	}
 }
+
+// settledMoves is the share of all keys that may change hands in the last five seconds of a
+// replay whose load has been steady for nine seconds.
+const settledMoves = 0.05
+
+// Guards against keys that go on moving under a steady load.
+func TestSteadySkewSettles(t *testing.T) {
+	moved := 0
+	ms := replay{key: 30000, count: 200, share: 0.38, to: 99 * second}.run()
+	for _, m := range ms[len(ms)-5:] {
+		moved += m.keys
+	}
+	if float64(moved) > settledMoves*(platform.MaxKey+1) {
+		t.Errorf("%d of %d keys moved in the last five seconds", moved, platform.MaxKey+1)
+	}
+}
