alive, peer, entry: an instance finds the targets that it checks without an order of all instances for each

The cache now holds a yes or no for each target, and targets of another failure domain that has live instances cost no hash.

--- a/internal/gate/entry/call.go
+++ b/internal/gate/entry/call.go
@@ -86,8 +86,7 @@
 // IsHome reports whether this instance is the home of a group of targets in a failure
 // domain.
 func (e *Entry) IsHome(k group.ID, domain string) bool {
-	is := e.Alive.Nearest(e.Views.View(), k.Name(), e.place(domain))
-	return len(is) > 0 && is[0].ID == e.Self.ID && !e.Leaving()
+	return !e.Leaving() && e.Alive.IsFirst(e.Views.View(), k.Name(), e.place(domain))
 }
 
 // call calls a home. If the client disconnects, it withdraws the request from the
--- a/internal/state/alive/alive.go
+++ b/internal/state/alive/alive.go
@@ -20,6 +20,18 @@
 	generation uint64
 	// orderings caches the results of Nearest by name.
 	orderings map[string]ordering
+	firsts    firsts
+}
+
+// firsts caches for which names the own instance comes first, valid for the generations of
+// the directory and of the suspects. It takes less memory than the orderings, which are for
+// the names that are used.
+type firsts struct {
+	directory, suspects uint64
+	live                []peer.Instance
+	// domains holds the failure domains of live.
+	domains map[string]bool
+	first   map[string]bool
 }
 
 // ordering is a result of Nearest, valid for the generations of the directory and
@@ -94,13 +106,47 @@
 	if r, ok := s.orderings[name]; ok && r.directory == v.Generation && r.suspects == s.generation {
 		return r.order
 	}
+	r := ordering{v.Generation, s.generation, peer.Nearest(name, at, s.live(v))}
+	s.orderings[name] = r
+	return r.order
+}
+
+// IsFirst reports whether this instance is the first one that Nearest returns. It is for
+// many names.
+func (s *Set) IsFirst(v *view.View, name string, at peer.Place) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := &s.firsts
+	if f.first == nil || f.directory != v.Generation || f.suspects != s.generation {
+		*f = firsts{v.Generation, s.generation, s.live(v), map[string]bool{}, map[string]bool{}}
+		for _, i := range f.live {
+			f.domains[i.FailureDomain] = true
+		}
+	}
+	first, ok := f.first[name]
+	if !ok {
+		first = s.comesFirst(v, name, at)
+		f.first[name] = first
+	}
+	return first
+}
+
+// comesFirst is IsFirst without the cache. The caller holds mu.
+func (s *Set) comesFirst(v *view.View, name string, at peer.Place) bool {
+	if self, ok := v.Instance(s.self); !ok || self.FailureDomain != at.FailureDomain && s.firsts.domains[at.FailureDomain] {
+		return false
+	}
+	i, ok := peer.First(name, at, s.firsts.live)
+	return ok && i.ID == s.self
+}
+
+// live returns the instances of the directory that are not suspected. The caller holds mu.
+func (s *Set) live(v *view.View) []peer.Instance {
 	live := make([]peer.Instance, 0, len(v.Instances))
 	for _, i := range v.Instances {
 		if n, ok := s.suspects[i.ID]; !ok || n != i.Incarnation {
 			live = append(live, i)
 		}
 	}
-	r := ordering{v.Generation, s.generation, peer.Nearest(name, at, live)}
-	s.orderings[name] = r
-	return r.order
+	return live
 }
--- a/peer/choice.go
+++ b/peer/choice.go
@@ -32,16 +32,38 @@
 // Instances at the same distance are ordered by weighted rendezvous hashing with
 // the given name, so that different names spread over different instances.
 func Nearest(name string, at Place, live []Instance) []Instance {
-	return rank(name, live, func(i Instance) int {
-		switch {
-		case i.FailureDomain == at.FailureDomain:
-			return 0
-		case i.Region == at.Region:
-			return 1
-		default:
-			return 2
+	return rank(name, live, func(i Instance) int { return nearestGroup(at, i) })
+}
+
+// First returns the first instance in the order of Nearest, without sorting them. It
+// returns false if live is empty.
+func First(name string, at Place, live []Instance) (Instance, bool) {
+	var best Instance
+	found, bestGroup, bestScore := false, 0, 0.0
+	for _, i := range live {
+		g := nearestGroup(at, i)
+		if found && g > bestGroup {
+			continue
 		}
-	})
+		s := score(name, i)
+		if !found || g < bestGroup || s > bestScore || s == bestScore && i.ID < best.ID {
+			best, found, bestGroup, bestScore = i, true, g, s
+		}
+	}
+	return best, found
+}
+
+// nearestGroup returns the group of an instance in the order of Nearest; lower groups come
+// first.
+func nearestGroup(at Place, i Instance) int {
+	switch {
+	case i.FailureDomain == at.FailureDomain:
+		return 0
+	case i.Region == at.Region:
+		return 1
+	default:
+		return 2
+	}
 }
 
 // rank returns the instances sorted by ascending group, then by descending score
