entry, soak: one constant and one function in place of twins

entry had a reason of its own with the text of pool.ReasonNoTarget, and the soak's evacuate repeated the end of undoAfter. No behaviour changes.

--- a/internal/fault/soak/faults_test.go
+++ b/internal/fault/soak/faults_test.go
@@ -250,14 +250,19 @@
 // stableWindow after that.
 func (s *soakRun) undoAfter(d time.Duration, undo func()) {
 	s.ledger.SuspendDrainCheck(d + stableWindow)
+	s.after(d, undo)
+}
+
+// after calls f after d: in the background, unless the run is serial.
+func (s *soakRun) after(d time.Duration, f func()) {
 	if s.serial {
 		time.Sleep(d)
-		undo()
+		f()
 		return
 	}
 	s.pendingUndos.Go(func() {
 		time.Sleep(d)
-		undo()
+		f()
 	})
 }
 
--- a/internal/fault/soak/places_test.go
+++ b/internal/fault/soak/places_test.go
@@ -18,19 +18,10 @@
 	s.evacuated.Store(true)
 	s.store.Put(platform.TableDesired, platform.PrefixEvacuated+domain, []byte("{}"))
 	s.ledger.SetEvacuated(domain, true)
-	undo := func() {
+	s.after(d, func() {
 		s.ledger.SetEvacuated(domain, false)
 		s.store.Remove(platform.TableDesired, platform.PrefixEvacuated+domain)
 		s.evacuated.Store(false)
-	}
-	if s.serial {
-		time.Sleep(d)
-		undo()
-		return
-	}
-	s.pendingUndos.Go(func() {
-		time.Sleep(d)
-		undo()
 	})
 }
 
--- a/internal/gate/entry/choose.go
+++ b/internal/gate/entry/choose.go
@@ -10,6 +10,7 @@
 	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/internal/gate/group"
 	"dandelionrock.example/dandelionrock/internal/plan/place"
+	"dandelionrock.example/dandelionrock/internal/plan/pool"
 	"dandelionrock.example/dandelionrock/internal/plan/realm"
 	"dandelionrock.example/dandelionrock/peer"
 	"dandelionrock.example/dandelionrock/platform"
@@ -22,9 +23,8 @@
 	at peer.Place
 }
 
-// Reasons for which no target may run a request.
+// Reasons for which no target may run a request, beside pool.ReasonNoTarget.
 const (
-	reasonNoTarget = "no-target"
 	// reasonEvacuated states that all targets are in evacuated failure domains, and
 	// reasonOutside that they, or the owner of the key, are outside of the regions to which
 	// the request is bound.
@@ -90,7 +90,7 @@
 		case t.Leaving:
 		case q.realm.Holds(q.entry.Region(t.FailureDomain)):
 			if !t.Evacuated {
-				return reasonNoTarget
+				return pool.ReasonNoTarget
 			}
 			evacuated = true
 		}
@@ -101,7 +101,7 @@
 	case q.realm.Bounded() && len(targets) > 0:
 		return reasonOutside
 	}
-	return reasonNoTarget
+	return pool.ReasonNoTarget
 }
 
 // giveUp ends a request for which no target is left to try. A reply or reason of
--- a/internal/gate/entry/choose_test.go
+++ b/internal/gate/entry/choose_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"dandelionrock.example/dandelionrock/internal/gate/group"
+	"dandelionrock.example/dandelionrock/internal/plan/pool"
 	"dandelionrock.example/dandelionrock/internal/plan/realm"
 	"dandelionrock.example/dandelionrock/internal/state/mirror"
 	"dandelionrock.example/dandelionrock/internal/state/view"
@@ -81,7 +82,7 @@
 			t.Fatalf("homes %v: found %v, although a target is left: %v (%s)", homes, ok, left, q.reason)
 		}
 		if !ok {
-			if q.status != http.StatusServiceUnavailable || !slices.Contains([]string{reasonNoTarget, reasonOutside, reasonEvacuated}, q.reason) {
+			if q.status != http.StatusServiceUnavailable || !slices.Contains([]string{pool.ReasonNoTarget, reasonOutside, reasonEvacuated}, q.reason) {
 				t.Fatalf("refused with %d, %q", q.status, q.reason)
 			}
 			continue
