relay: no silent link is in use when the first one is closed

A link that was found silent was closed while the tests of others, which end at the same moment, had not retired theirs: the caller whose call failed went on to a peer whose silent link still accepted calls, and failed again. Now all silent links are retired before the first is closed; that costs no more time, since all probes end at one deadline.

--- a/internal/relay/silent.go
+++ b/internal/relay/silent.go
@@ -111,33 +111,39 @@
 // testSince tests all links on which nothing was received since the given time, except
 // those that may be sending a large frame. It reports whether any of them was silent.
 func (p *Pool) testSince(since clock.Time) bool {
-	var g sync.WaitGroup
+	var tests, replacements sync.WaitGroup
 	var found atomic.Bool
 	p.mu.RLock()
 	for a, r := range p.peers {
 		for i := range r.slots {
 			s := &r.slots[i]
-			if l := s.current.Load(); l != nil && l.silentSince(since) {
-				g.Go(func() {
-					if p.test(l, s, a) {
-						found.Store(true)
-					}
-				})
+			l := s.current.Load()
+			if l == nil || !l.silentSince(since) || l.codec.out.isSending(clock.Boot()) || !l.acquire() {
+				continue
 			}
+			tests.Add(1)
+			replacements.Go(func() {
+				defer l.release()
+				begin := clock.Boot()
+				silent := p.retireSilent(l)
+				tests.Done()
+				// Closing a link fails a call, whose caller may go on to another peer:
+				// no silent link may still be in use then.
+				tests.Wait()
+				if silent && p.replaceSilent(l, s, a, begin) {
+					found.Store(true)
+				}
+			})
 		}
 	}
 	p.mu.RUnlock()
-	g.Wait()
+	replacements.Wait()
 	return found.Load()
 }
 
-// test closes a link on which the peer doesn't answer, if it does on a new one. It reports
+// retireSilent retires an acquired link if the peer doesn't answer on it. It reports
 // whether it did.
-func (p *Pool) test(l *link, s *slot, address string) bool {
-	if l.codec.out.isSending(clock.Boot()) || !l.acquire() {
-		return false
-	}
-	defer l.release()
+func (p *Pool) retireSilent(l *link) bool {
 	l.active.Add(1) // released by probe
 	begin := clock.Boot()
 	c, stop := context.WithTimeout(p.context, probeTimeout)
@@ -146,7 +152,7 @@
 		return false
 	}
 	l.retire()
-	return p.replaceSilent(l, s, address, begin)
+	return true
 }
 
 // probe calls methodProbe on an acquired link, which it releases, and reports whether the
