sender: answers of targets that haven't read the body

A request was written as a whole before its response was read. A target that answers early and doesn't read on, or closes, was never heard: a true rejection (and a 413) became an unknown outcome, for an upload one that is never repeated, after the write had failed. Bodies above 16 KiB are now written while the response is awaited.

Ruled out: returning a success at once, since a target that reads on would get a truncated body.

--- a/internal/gate/sender/sender.go
+++ b/internal/gate/sender/sender.go
@@ -287,9 +287,18 @@
 // connection can be reused.
 func (k *conn) exchange(p Target, r *Request) (*Response, bool, error) {
 	k.exchanges++
-	if err := k.send(p, r); err != nil {
-		return nil, false, errors.Wrap(err, "write request")
+	s := k.startSending(p, r)
+	a, reuse, err := k.response(r)
+	sent := s.end(a)
+	if err != nil {
+		return nil, false, errors.CombineErrors(err, s.err)
 	}
+	return a, reuse && sent, nil
+}
+
+// response reads the response to a request, which may still be being written. It also
+// reports whether the connection can be reused.
+func (k *conn) response(r *Request) (*Response, bool, error) {
 	for range maxResponses {
 		a, reuse, err := k.read(r)
 		if err != nil {
