--- a/internal/gate/entry/respond.go
+++ b/internal/gate/entry/respond.go
@@ -29,7 +29,7 @@
 	q.entry.Log.Info().Str("event", "request-failed").Str("request", q.attempt).Str("route", q.route.Name).Str("service", q.service.Name).
 		Int("status", q.status).Str("reason", q.reason).Dur("took", took).Dur("behind", q.queued).Int("sent", q.sent).Int("unsent", q.unsent).Bool("ran", q.ran).
 		Dur("retry-after", q.retryAfter).Uint64("config", q.config).Uint32("key", q.key).Str("target", q.target).Str("home", q.home).
-		Dur("store-age", q.entry.Age()).Msg("")
+		Dur("objective", q.objective.Sub(q.begin)).Bool("returned", q.returned).Dur("store-age", q.entry.Age()).Msg("")
 	respond(w, q.status, q.attempt, q.reason, q.retryAfter)
 }
 
@@ -57,7 +57,8 @@
 		return
 	}
 	q.entry.Log.Info().Str("event", "request-answered").Str("request", q.attempt).Str("route", q.route.Name).Str("service", q.service.Name).
-		Str("target", a.Target).Int32("status", a.Status).Dur("took", took).Dur("behind", q.queued).Int("sent", q.sent).Int("unsent", q.unsent).Bool("late", late).Err(err).Msg("")
+		Str("target", a.Target).Int32("status", a.Status).Dur("took", took).Dur("behind", q.queued).Int("sent", q.sent).Int("unsent", q.unsent).Bool("late", late).
+		Uint32("key", q.key).Dur("objective", q.objective.Sub(q.begin)).Bool("returned", q.returned).Err(err).Msg("")
 }
 
 // Names of what a request had reached when its connection ended.
