bench: how many refused and late requests no assignment could have served

Ruled out: counting per key from samples of requests in time (one in 64, a few per hot key); room from refused requests alone (never above the pace of the targets); moves of keys whose owner lives as a cause, since waiting hides them while they take less than the objective without the time at work. Not built: which attempts are of one request, which no header states.

--- a/cmd/bench/load.go
+++ b/cmd/bench/load.go
@@ -14,10 +14,20 @@
 	outcomes  map[string]int
 	reasons   map[string]int
 	wrong     int
+	// samples holds all results, if the load keeps them.
+	samples []sample
 	// length is the time in which the results were counted.
 	length time.Duration
 }
 
+// sample is one request with its result.
+type sample struct {
+	call   *call
+	result result
+	begin  time.Time
+	took   time.Duration
+}
+
 func newTally() *tally { return &tally{outcomes: map[string]int{}, reasons: map[string]int{}} }
 
 // rate returns the answered requests per second.
@@ -37,6 +47,7 @@
 
 func (t *tally) merge(o *tally) {
 	t.latencies = append(t.latencies, o.latencies...)
+	t.samples = append(t.samples, o.samples...)
 	t.wrong += o.wrong
 	for k, n := range o.outcomes {
 		t.outcomes[k] += n
@@ -57,6 +68,8 @@
 	// warmup is the time before results are counted, length the time in which
 	// they are.
 	warmup, length time.Duration
+	// keep is set if the results are kept one by one.
+	keep bool
 	// next returns request i of worker w.
 	next func(w, i int) *call
 }
@@ -107,6 +120,9 @@
 		}
 		if start.After(first) {
 			t.add(r, now.Sub(start))
+			if l.keep {
+				t.samples = append(t.samples, sample{c, r, start, now.Sub(start)})
+			}
 		}
 	}
 }
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -43,6 +43,7 @@
 		{"idle", "Measures idle instances and the spread of configurations", &idleCommand{}},
 		{"overload", "Measures goodput under overload and fairness", &overloadCommand{}},
 		{"balance", "Computes imbalance and churn of the planner", &balanceCommand{}},
+		{"bound", "Prints how many refused and late requests no assignment could have served, from logs", &boundCommand{}},
 		{"counts", "Prints the sums of the counts of all experiments", &countsCommand{}},
 	} {
 		if _, err := p.AddCommand(c.name, c.text, "", c.data); err != nil {
--- a/cmd/bench/overload.go
+++ b/cmd/bench/overload.go
@@ -1,14 +1,19 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
 	"dandelionrock.example/dandelionrock/internal/header"
 )
 
@@ -20,6 +25,7 @@
 	overloadWarmup      = time.Second
 	overloadLength      = 5 * time.Second
 	overloadKeys        = 2048
+	keyPrefix           = "key-"
 	// overloadWorkers bounds the requests in flight. At three times the capacity,
 	// 1200 requests are sent within the timeout.
 	overloadWorkers = 1536
@@ -35,8 +41,9 @@
 
 type overloadCommand struct {
 	common
-	layout *layout
-	sum    counts
+	Requests string `long:"requests" description:"file to which each request at three times the capacity is written, for the command bound"`
+	layout   *layout
+	sum      counts
 }
 
 // Execute implements flags.Commander.
@@ -45,9 +52,9 @@
 	if c.layout, err = readLayout(c.Dir); err != nil {
 		return err
 	}
-	c.goodput()
+	t := c.goodput()
 	c.neighbours()
-	return c.sum.save(c.Counts)
+	return errors.Join(c.writeRequests(t), c.sum.save(c.Counts))
 }
 
 // capacity returns the requests per second that the slots can execute.
@@ -67,7 +74,7 @@
 		return &call{
 			method: http.MethodGet, organisation: "bench", service: "lookups", credential: account + "-credential",
 			path: "/n/" + account + "-" + strconv.Itoa(w) + "-" + strconv.Itoa(i),
-			key:  "key-" + strconv.Itoa(r.IntN(overloadKeys)), timeout: timeout,
+			key:  keyPrefix + strconv.Itoa(r.IntN(overloadKeys)), timeout: timeout,
 		}
 	}}
 }
@@ -83,13 +90,43 @@
 }
 
 // goodput measures the answered requests at three times the capacity.
-func (c *overloadCommand) goodput() {
+func (c *overloadCommand) goodput() *tally {
 	k := c.capacity()
-	t := c.load("loud", overloadFactor*k, overloadWorkers, overloadTimeout).run()
+	l := c.load("loud", overloadFactor*k, overloadWorkers, overloadTimeout)
+	l.keep = c.Requests != ""
+	t := l.run()
 	c.record("overload", t)
 	newPrinter(c.common).print("overload-goodput-ratio", t.rate()/k, "ratio",
 		fmt.Sprintf("capacity %.0f requests/s of 8 slots at a service time of %s; one-way latency to upstreams %s; "+
 			"%.0f requests/s offered, timeout %s", k, overloadServiceTime, domainDelay, overloadFactor*k, overloadTimeout))
+	return t
+}
+
+// writeRequests writes the requests of a load in the form of an instance's lines. The
+// objective is the timeout.
+func (c *overloadCommand) writeRequests(t *tally) error {
+	if c.Requests == "" {
+		return nil
+	}
+	f, err := os.Create(c.Requests)
+	if err != nil {
+		return err
+	}
+	w := bufio.NewWriter(f)
+	l := zerolog.New(w)
+	for _, s := range t.samples {
+		event, reason := "request-answered", ""
+		if s.result.outcome != header.Answered {
+			event, reason = "request-failed", s.result.outcome+"/"+s.result.reason
+		}
+		n, err := strconv.Atoi(strings.TrimPrefix(s.call.key, keyPrefix))
+		if err != nil {
+			return errors.Join(err, f.Close())
+		}
+		l.Info().Str("event", event).Str("route", s.call.service).Str("service", s.call.service).Str("reason", reason).Int("key", n).
+			Dur("took", s.took).Dur("objective", s.call.timeout).Bool("late", s.took > s.call.timeout).Int64("time", s.begin.Add(s.took).UnixMilli()).Msg("")
+	}
+	return errors.Join(w.Flush(), f.Close())
 }
 
 // neighbours compares the latency of quiet client accounts with and without an
--- /dev/null
+++ b/internal/trial/bound/bound.go
@@ -0,0 +1,488 @@
+// Package bound computes, after a run, how many of its requests no assignment of
+// requests and keys to targets could have answered within their objectives, by cause. It
+// performs no I/O; times are those of the run.
+//
+// Load answered: a few keys with more requests than a target takes, a service with more
+// than its targets take together, targets that reject at will, and lost owners.
+//
+// Each cause is a lower bound. What it doesn't cover is counted as ours:
+//
+//   - Unknown: the instance that received the request had no configuration, an outdated
+//     one, or stated a place that is gone when its copy of the store was older than
+//     Figures.Stale.
+//   - Move: the request failed because its key had no owner, the key became free only by
+//     the loss of its owner, and a target would have had to begin with the request before
+//     then to be in time. The wait counts for Figures.Grant at most, from the first
+//     such failure on the range: a longer one is ours. Keys that move while their owner
+//     lives are ours too.
+//   - Key: the requests for one key are more than one target takes. Of those that arrive in
+//     a time w, a target of s slots answers at most s/t * (w + o) in time, for the mean time
+//     t at work at the fastest targets and the objective o. The excess is summed over the
+//     disjoint times with the largest sum.
+//   - Room: the same for all requests of a service and all its targets. Only what exceeds
+//     the claims of Key on overlapping times counts.
+//   - Shed: in a stated spell the targets reject a stated share of what reaches them,
+//     whatever its number. Of the requests whose objective ends in the spell, at most the
+//     rest is answered in time, with the repeats that the budget allows; a request fails
+//     if all tries of all its attempts do. Only what exceeds the claims before counts.
+//
+// If requests differ, a bound by pace is that of the requests with at least some mean time t
+// at work and at most some objective o, all taken to have t and o, for the best t and o. Times
+// at work are means: a run of requests that happen to be shorter can exceed the pace, which
+// isn't known of a single request. Targets are taken to be warm, at their full pace and at no
+// distance.
+//
+// Table counts attempts as they came: of those that repeat a refused one, a better assignment
+// might have had fewer. Requests counts requests, each with all its attempts; logs don't
+// state which attempts are of one request, so that it takes the least number of requests
+// that they can be of.
+//
+// Requests in time are known by samples, or not at all. Of a sampled number the bound uses
+// what it exceeds with three standard deviations, and at least the samples themselves.
+package bound
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Outcome is what became of a request.
+type Outcome int
+
+// Outcomes.
+const (
+	InTime Outcome = iota
+	// Late means that it was answered after its objective.
+	Late
+	// Refused means that it got no answer of a target.
+	Refused
+)
+
+// Cause is why no assignment could have answered a request in time.
+type Cause int
+
+// Causes, in the order in which requests are attributed to them.
+const (
+	// Ours is the absence of a cause.
+	Ours Cause = iota
+	Unknown
+	Move
+	Key
+	Room
+	Shed
+	// Causes is the number of causes.
+	Causes int = iota
+)
+
+// NoKey is the key of requests without one.
+const NoKey = -1
+
+// Demand is an attempt of a client. One that repeats another is a demand of its own, since
+// nothing states what belongs together.
+type Demand struct {
+	// At is the arrival, since any origin that all demands share.
+	At      time.Duration
+	Service string
+	Kind    string
+	Key     int
+	// Objective is the time after At by which the response is in time.
+	Objective time.Duration
+	// Work is the mean time that a request of this kind takes at a target of factor 1.
+	Work    time.Duration
+	Outcome Outcome
+	// Reason is why the request was refused, as logged.
+	Reason string
+	// Stands is the number of requests in time that a sampled one stands for, itself
+	// included; 1 for all others.
+	Stands int
+	// Attempts is the largest number of attempts of one request, if above 1, and Limit the
+	// longest time from the first to the last.
+	Attempts int
+	Limit    time.Duration
+	// Returned is set if the client was known to have tried before.
+	Returned bool
+	// Age is that of what the instance knew of the targets.
+	Age time.Duration
+}
+
+// Targets are targets of the same pace.
+type Targets struct {
+	Count, Slots int
+	// Factor multiplies the time at work.
+	Factor float64
+}
+
+// Spell is a time in which all targets of a service reject the share Share of the requests
+// that reach them.
+type Spell struct {
+	From, To time.Duration
+	Share    float64
+}
+
+// Service holds the figures of a service.
+type Service struct {
+	Targets []Targets
+	Spells  []Spell
+	// Repeats is the number of further tries for each request, and Allowance the number
+	// of those in any spell beside.
+	Repeats   float64
+	Allowance int
+}
+
+// Figures are those of the deployment.
+type Figures struct {
+	Services map[string]Service
+	// Grant is the longest time for which a lost owner binds its keys, Stale the age from
+	// which a copy of the store doesn't tell where keys and targets are; 0 for none.
+	Grant, Stale time.Duration
+}
+
+// Freed is a range of keys, both ends included, that has no owner from At on.
+type Freed struct {
+	At       time.Duration
+	Service  string
+	From, To int
+	// Lost is set if the owner was lost and did not release the range.
+	Lost bool
+}
+
+// Row holds the numbers of one kind.
+type Row struct {
+	Service, Kind string
+	// InTime is estimated from samples; Late and Refused are counted.
+	InTime, Late, Refused int
+	// By holds the numbers of late and refused requests by cause; their sum is Late +
+	// Refused.
+	By [Causes]int
+	// Left holds what is ours by reason; late requests have the reason of LateReason.
+	Left map[string]int
+}
+
+// LateReason stands for the reason of late requests.
+const LateReason = "late"
+
+// Table computes the rows of attempts as they came, sorted by service and kind.
+func Table(f Figures, demands []Demand, freed []Freed) []Row {
+	l := newLedger(f, demands)
+	l.markUnknown()
+	l.markMoves(freed)
+	l.claimAll()
+	return l.rows()
+}
+
+// Least holds the least number of requests of a service, each with all its attempts, that
+// no assignment could have answered in time.
+type Least struct {
+	Service         string
+	Key, Room, Shed int
+}
+
+// Requests computes the bounds for requests, sorted by service. Requests that came for the
+// first time in a window are at least the attempts in it, without those that may repeat
+// attempts refused before the window, by the most attempts of one.
+func Requests(f Figures, demands []Demand) []Least {
+	l := newLedger(f, demands)
+	l.requests = true
+	l.claimAll()
+	var out []Least
+	for _, n := range sorted(f.Services) {
+		r := Least{Service: n}
+		for _, c := range l.claims {
+			if c.service != n {
+				continue
+			}
+			switch c.cause {
+			case Key:
+				r.Key += c.size
+			case Room:
+				r.Room += c.size
+			case Shed:
+				r.Shed += c.size
+			}
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// ledger holds the demands and what is claimed of them.
+type ledger struct {
+	figures Figures
+	demands []Demand
+	// causes has the cause of each demand, Ours at first.
+	causes []Cause
+	claims []claim
+	// requests is set if claims are of requests instead of attempts.
+	requests bool
+}
+
+// claim states that at least size of the unserved demands of a service that arrive from
+// from, and before to, are bound.
+type claim struct {
+	service  string
+	from, to time.Duration
+	size     int
+	cause    Cause
+}
+
+func newLedger(f Figures, demands []Demand) *ledger {
+	d := slices.SortedStableFunc(slices.Values(demands), func(a, b Demand) int { return cmp.Compare(a.At, b.At) })
+	return &ledger{figures: f, demands: d, causes: make([]Cause, len(d))}
+}
+
+// isOpen reports whether a demand was not in time and has no cause yet.
+func (l *ledger) isOpen(i int) bool { return l.demands[i].Outcome != InTime && l.causes[i] == Ours }
+
+// Reasons, as logged, of requests whose instance had no usable configuration.
+var unknownReasons = []string{"no-configuration", "configuration-outdated"}
+
+// Reasons, as logged, that name a place that is gone.
+var goneReasons = []string{"home-unreachable", "home-lost", "target-unreachable", "target-gone", "no-target", "no-owner", "owner-lost"}
+
+func (l *ledger) markUnknown() {
+	for i, d := range l.demands {
+		stale := l.figures.Stale > 0 && d.Age > l.figures.Stale && slices.Contains(goneReasons, d.Reason)
+		if l.isOpen(i) && (stale || slices.Contains(unknownReasons, d.Reason)) {
+			l.causes[i] = Unknown
+		}
+	}
+}
+
+// Reasons, as logged, of requests whose key had no owner.
+var ownerReasons = []string{"no-owner", "owner-lost"}
+
+func (l *ledger) markMoves(freed []Freed) {
+	for _, r := range freed {
+		if !r.Lost {
+			continue
+		}
+		first := time.Duration(-1)
+		for i, d := range l.demands {
+			if d.At >= r.At {
+				break
+			}
+			if d.Service != r.Service || d.Key < r.From || d.Key > r.To || !slices.Contains(ownerReasons, d.Reason) || d.At < r.At-l.figures.Grant {
+				continue
+			}
+			if first < 0 {
+				first = d.At
+			}
+			if l.isOpen(i) && d.At+d.Objective-l.shortest(d) <= min(r.At, first+l.figures.Grant) {
+				l.causes[i] = Move
+			}
+		}
+	}
+}
+
+// shortest returns the mean time that a demand takes at the fastest targets.
+func (l *ledger) shortest(d Demand) time.Duration {
+	f := math.Inf(1)
+	for _, t := range l.figures.Services[d.Service].Targets {
+		f = min(f, t.Factor)
+	}
+	if math.IsInf(f, 1) {
+		return d.Work
+	}
+	return time.Duration(float64(d.Work) * f)
+}
+
+func (l *ledger) claimAll() {
+	for _, n := range sorted(l.figures.Services) {
+		l.claimKeys(n)
+		l.claimRoom(n)
+		l.claimSpells(n)
+	}
+}
+
+// claimKeys claims what exceeds one target, for each key.
+func (l *ledger) claimKeys(service string) {
+	byKey := map[int][]int{}
+	for i, d := range l.demands {
+		if d.Service == service && d.Key != NoKey {
+			byKey[d.Key] = append(byKey[d.Key], i)
+		}
+	}
+	pace := 0.0
+	for _, t := range l.figures.Services[service].Targets {
+		pace = max(pace, float64(t.Slots)/t.Factor)
+	}
+	for _, k := range sorted(byKey) {
+		ws, of := l.excess(byKey[k], pace)
+		for _, w := range ws {
+			l.claim(service, w, of, Key, false)
+		}
+	}
+}
+
+// claimRoom claims what exceeds all targets of a service.
+func (l *ledger) claimRoom(service string) {
+	pace := 0.0
+	for _, t := range l.figures.Services[service].Targets {
+		pace += float64(t.Count*t.Slots) / t.Factor
+	}
+	ws, of := l.excess(l.of(service), pace)
+	for _, w := range ws {
+		l.claim(service, w, of, Room, true)
+	}
+}
+
+// claimSpells claims what targets reject in spells, beyond repeats.
+func (l *ledger) claimSpells(service string) {
+	s, of := l.figures.Services[service], l.of(service)
+	for _, p := range s.Spells {
+		var c count
+		var before float64
+		r := l.repeats(of)
+		for _, i := range of {
+			d := l.demands[i]
+			switch {
+			case l.causes[i] == Unknown || l.causes[i] == Move:
+			case d.At >= p.From && d.At+max(d.Objective, 0) <= p.To:
+				c.add(d)
+			case d.At < p.From && d.At >= p.From-r.limit && d.Outcome == Refused:
+				before++
+			}
+		}
+		n := r.first(c.least(), before)
+		if n < 1 {
+			continue
+		}
+		tries, left := 1+s.Repeats+float64(s.Allowance)/n, 1-p.Share
+		excess := n * (1 - left*tries)
+		if l.requests {
+			// Failures are fewest if all requests have as many tries.
+			excess = n * math.Pow(p.Share, r.attempts*(1+s.Repeats)+float64(s.Allowance)/n)
+		}
+		l.claim(service, window{p.From, p.To, int(excess)}, of, Shed, true)
+	}
+}
+
+// repeats holds how clients repeat requests.
+type repeats struct {
+	attempts float64
+	limit    time.Duration
+}
+
+// repeats returns how the clients of demands repeat them; if attempts are counted, each is
+// taken as the only one.
+func (l *ledger) repeats(of []int) repeats {
+	r := repeats{attempts: 1}
+	if !l.requests {
+		return r
+	}
+	for _, i := range of {
+		d := l.demands[i]
+		r.attempts, r.limit = max(r.attempts, float64(d.Attempts)), max(r.limit, d.Limit)
+	}
+	return r
+}
+
+// first returns the least number of requests whose first attempt is among n attempts, when
+// before attempts were refused earlier within the limit.
+func (r repeats) first(n, before float64) float64 {
+	return (n - (r.attempts-1)*before) / r.attempts
+}
+
+// of returns the demands of a service.
+func (l *ledger) of(service string) []int {
+	var of []int
+	for i, d := range l.demands {
+		if d.Service == service {
+			of = append(of, i)
+		}
+	}
+	return of
+}
+
+// claim attributes the excess of a window to a cause, for open demands among of. If shared is
+// set, earlier claims on overlapping times may be on the same demands and are subtracted.
+// Requests refused for lack of a slot go first, late ones last.
+func (l *ledger) claim(service string, w window, of []int, c Cause, shared bool) {
+	n := w.excess
+	if shared {
+		for _, e := range l.claims {
+			if e.service == service && e.from < w.to && e.to > w.from {
+				n -= e.size
+			}
+		}
+	}
+	if n <= 0 {
+		return
+	}
+	if l.requests {
+		l.claims = append(l.claims, claim{service, w.from, w.to, n, c})
+		return
+	}
+	var open []int
+	for _, i := range of {
+		if l.isOpen(i) && l.demands[i].At >= w.from && l.demands[i].At < w.to {
+			open = append(open, i)
+		}
+	}
+	slices.SortStableFunc(open, func(a, b int) int { return cmp.Compare(l.rank(a), l.rank(b)) })
+	n = min(n, len(open))
+	for _, i := range open[:n] {
+		l.causes[i] = c
+	}
+	l.claims = append(l.claims, claim{service, w.from, w.to, n, c})
+}
+
+// Reasons, as logged, of requests that found no slot.
+var fullReasons = []string{"full", "waited-too-long", "overtaken", "target-limit", "targets-paused", "target-rejected"}
+
+func (l *ledger) rank(i int) int {
+	switch d := l.demands[i]; {
+	case d.Outcome == Late:
+		return 2
+	case slices.Contains(fullReasons, d.Reason):
+		return 0
+	}
+	return 1
+}
+
+func (l *ledger) rows() []Row {
+	type id struct{ service, kind string }
+	rows := map[id]*Row{}
+	for i, d := range l.demands {
+		n := id{d.Service, d.Kind}
+		r := rows[n]
+		if r == nil {
+			r = &Row{Service: d.Service, Kind: d.Kind, Left: map[string]int{}}
+			rows[n] = r
+		}
+		reason := d.Reason
+		switch d.Outcome {
+		case InTime:
+			r.InTime += d.Stands
+			continue
+		case Late:
+			r.Late++
+			reason = LateReason
+		case Refused:
+			r.Refused++
+		}
+		r.By[l.causes[i]]++
+		if l.causes[i] == Ours {
+			r.Left[reason]++
+		}
+	}
+	var out []Row
+	for _, r := range rows {
+		out = append(out, *r)
+	}
+	slices.SortFunc(out, func(a, b Row) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Kind, b.Kind))
+	})
+	return out
+}
+
+func sorted[K cmp.Ordered, V any](m map[K]V) []K {
+	var l []K
+	for k := range m {
+		l = append(l, k)
+	}
+	slices.Sort(l)
+	return l
+}
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -111,6 +111,7 @@
 for e in $("$bin/bench" experiments --figures "$figures"); do
   flags=(--seed "$seed" --figures "$figures" --counts "$work/counts" --dir "$work/$e")
   mkdir -p "$work/$e"
+  if [[ $e == overload && -n ${BENCH_KEEP-} ]]; then flags+=(--requests "$work/$e/requests"); fi
   if [[ $e == balance ]]; then
     "$bin/bench" balance "${flags[@]}" || failed=1
     continue
