keys: keys that are worth most to move

A trace of the plans shows ranges of 100 to 570 cold keys, taken because they come closest to the wanted rate, where one or two hot keys would do; most owners exceed the bound by chance, at rates counted over about six seconds.

Change: a key has a price of half the median request rate of a key, and a move takes the keys with the highest rate less price, not the highest rate that fits. The median is of blocks of 256 keys, so that a hot key doesn't raise it.

Ruled out: a price by the mean rate, which a key hotter than any target raises until no cold key leaves its owner; a bound on the rate less price in place of the rate (TestBusyKeyMovesToFastTarget: 1.3 other requests per second stay with the busy key's owner).

--- a/internal/plan/keys/load.go
+++ b/internal/plan/keys/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"dandelionrock.example/dandelionrock/clock"
@@ -63,3 +64,18 @@
 // Of returns the requests per second for the keys from from to to, both
 // included.
 func (r *Rates) Of(from, to uint32) float64 { return r.sums[to+1] - r.sums[from] }
+
+// medianBlock is the number of adjacent keys whose requests are taken together for the
+// median: most keys have none within a few seconds.
+const medianBlock = 256
+
+// median returns the requests per second for a key in the block of keys in the middle, by
+// load. Few busy keys don't change it.
+func (r *Rates) median() float64 {
+	var blocks []float64
+	for k := 0; k+medianBlock <= len(r.sums)-1; k += medianBlock {
+		blocks = append(blocks, r.sums[k+medianBlock]-r.sums[k])
+	}
+	slices.Sort(blocks)
+	return blocks[len(blocks)/2] / medianBlock
+}
--- a/internal/plan/keys/plan.go
+++ b/internal/plan/keys/plan.go
@@ -41,6 +41,9 @@
 	maxPieces = 4
 	// minGain is the smallest utilisation for which keys are moved.
 	minGain = 0.05
+	// keyPriceRatio is the price of moving a key as a share of the median request rate
+	// of a key: its requests wait and its next owner has to warm up.
+	keyPriceRatio = 0.5
 	// hotGain is the ratio of the new to the old utilisation below which a key
 	// that alone keeps a target busy moves to a faster one. The service times of
 	// loaded targets vary by about a quarter; a ratio closer to 1 would move the
@@ -57,6 +60,8 @@
 	// loads holds the planned utilisation of each member: the request rate of its
 	// keys divided by its weight.
 	loads []float64
+	// keyPrice is the request rate for which moving one key is worth nothing.
+	keyPrice float64
 	// rangeCounts holds the number of ranges of each member.
 	rangeCounts []int
 	// observations counts the consecutive plans before this one in which a
@@ -72,6 +77,9 @@
 	for i, v := range m {
 		p.byID[v.ID] = i
 	}
+	if l != nil {
+		p.keyPrice = keyPriceRatio * l.median()
+	}
 	for _, v := range r {
 		if i := p.index(v); i >= 0 {
 			p.loads[i] += p.rate(v) / m[i].Weight
@@ -82,8 +90,11 @@
 }
 
 // rate returns the requests per second for a range.
-func (p *plan) rate(r *schema.KeyRange) float64 {
-	return p.rates.Of(r.From, r.To) + idleRate*float64(r.To-r.From+1)
+func (p *plan) rate(r *schema.KeyRange) float64 { return p.rateOf(r.From, r.To) }
+
+// rateOf returns the requests per second for the keys from from to to, both included.
+func (p *plan) rateOf(from, to uint32) float64 {
+	return p.rates.Of(from, to) + idleRate*float64(to-from+1)
 }
 
 // index returns the member that owns a range, or -1.
@@ -336,53 +347,59 @@
 	p.ranges = rest
 }
 
-// selectKeys returns adjacent keys of a member with the highest request rate up to
-// want, or nil. A key that alone exceeds want stays where it is.
+// selectKeys returns adjacent keys of a member that are worth most to move, with a request
+// rate up to want, or nil. A key that alone exceeds want stays where it is.
 func (p *plan) selectKeys(owner int, want float64) *schema.KeyRange {
 	var best *schema.KeyRange
-	bestRate := 0.0
 	for _, r := range p.ranges {
 		if p.index(r) != owner {
 			continue
 		}
-		if p.rate(r) <= want {
-			if p.rate(r) > bestRate {
-				best, bestRate = r, p.rate(r)
-			}
-			continue
-		}
-		if p.rangeCounts[owner] >= maxRanges {
+		n := r
+		if p.rangeCounts[owner] < maxRanges {
+			n = p.bestSubrange(r, want)
+		} else if p.rate(r) > want {
 			continue
 		}
-		if n := p.heaviestSubrange(r, want); n != nil && p.rate(n) > bestRate {
-			best, bestRate = n, p.rate(n)
+		if n != nil && (best == nil || p.worth(n) > p.worth(best)) {
+			best = n
 		}
 	}
 	return best
 }
 
-// heaviestSubrange divides a range from its start into the longest subranges whose
-// request rate is at most want, leaving out keys that alone exceed it. It returns
-// the subrange with the highest rate, or nil.
-func (p *plan) heaviestSubrange(r *schema.KeyRange, want float64) *schema.KeyRange {
+// worth returns the request rate of a range less the price of its keys.
+func (p *plan) worth(r *schema.KeyRange) float64 {
+	return p.rate(r) - p.keyPrice*float64(r.To-r.From+1)
+}
+
+// bestSubrange returns the subrange of a range that is worth most of those whose request
+// rate is at most want, or nil.
+func (p *plan) bestSubrange(r *schema.KeyRange, want float64) *schema.KeyRange {
 	var best *schema.KeyRange
-	for from := r.From; from <= r.To; {
-		count := p.prefixWithin(subrange(r, from, r.To), want)
-		if count == 0 {
-			from++
-			continue
+	bestWorth := math.Inf(-1)
+	// sum is the worth of the keys of r before a key. starts holds the keys from which a
+	// subrange may begin, with ascending sums: the first one is the best of them.
+	type start struct {
+		key uint32
+		sum float64
+	}
+	var starts []start
+	sum := 0.0
+	for to := r.From; ; to++ {
+		for len(starts) > 0 && starts[len(starts)-1].sum >= sum {
+			starts = starts[:len(starts)-1]
 		}
-		if n := subrange(r, from, from+count-1); best == nil || p.rate(n) > p.rate(best) {
-			best = n
+		starts = append(starts, start{to, sum})
+		sum += p.rateOf(to, to) - p.keyPrice
+		for len(starts) > 0 && p.rateOf(starts[0].key, to) > want {
+			starts = starts[1:]
+		}
+		if len(starts) > 0 && sum-starts[0].sum > bestWorth {
+			best, bestWorth = subrange(r, starts[0].key, to), sum-starts[0].sum
+		}
+		if to == r.To {
+			return best
 		}
-		from += count
 	}
-	return best
-}
-
-// prefixWithin returns the number of keys in the longest prefix of a range whose
-// request rate is at most want.
-func (p *plan) prefixWithin(r *schema.KeyRange, want float64) uint32 {
-	n := sort.Search(int(r.To-r.From+1), func(i int) bool { return p.rate(subrange(r, r.From, r.From+uint32(i))) > want })
-	return uint32(n)
 }
