keys: a hot range is divided in one plan

Cause: a target with many times what it can serve gave half of the surplus to the least loaded one, which then gave half of it to the next: the same keys moved several times, at 12 moves a plan for 96 targets.

Change: a target above twice the overload bound gives its hot range, at ten times the price of its keys or more, in pieces to the targets with the most room, each up to the bound. These moves are not counted against the bound on moves, since they take few keys. Keys beside one that is hotter than any target leave by it too.

TestHotRangeIsDividedAtOnce: the highest utilisation after one plan is below 1; 10.51 without the change. TestKeyAboveAnyTargetIsAlone fails without it: 36 keys stay beside the hot one.

--- a/internal/plan/keys/keys_test.go
+++ b/internal/plan/keys/keys_test.go
@@ -378,3 +378,51 @@
 		}
 	}
 }
+
+// Puts 38% of the requests on 200 adjacent keys of one target, of which each is less than a
+// slow target can serve. Guards against a hot range that is passed on from target to target:
+// one plan must leave no target with more than it can serve.
+func TestHotRangeIsDividedAtOnce(t *testing.T) {
+	m := unevenMembers(96)
+	r := Initial(m, 1)
+	var l Load
+	for k := range uint32(platform.MaxKey + 1) {
+		l.Add(second, k, 480*0.62/(platform.MaxKey+1)/0.35)
+		if k >= 30000 && k < 30200 {
+			l.Add(second, k, 480*0.38/200/0.35)
+		}
+	}
+	rates := l.Rates(second)
+	if highest, _ := Utilisation(r, m, rates); highest < 10 {
+		t.Fatalf("the highest utilisation is %.2f before the plan", highest)
+	}
+	moves := new(Balancer).Plan(r, nil, m, rates, 12)
+	highest, mean := Utilisation(apply(r, moves), m, rates)
+	if highest > 1 {
+		t.Errorf("%d moves leave a target with utilisation %.2f, the mean is %.2f", len(moves), highest, mean)
+	}
+}
+
+// Puts more load on one key than any target can serve. Guards against other keys that wait
+// behind it for longer than one plan.
+func TestKeyAboveAnyTargetIsAlone(t *testing.T) {
+	m := unevenMembers(96)
+	const key = 30000
+	var l Load
+	for k := range uint32(platform.MaxKey + 1) {
+		l.Add(second, k, 300.0/(platform.MaxKey+1)/0.35)
+	}
+	l.Add(second, key, 60/0.35)
+	rates := l.Rates(second)
+	r := Initial(m, 1)
+	r = apply(r, new(Balancer).Plan(r, nil, m, rates, 12))
+	owner := r.Find(key).Target
+	if w := weight(m, owner); w != 16 {
+		t.Errorf("the key is at a target with weight %v", w)
+	}
+	for _, v := range r {
+		if v.Target == owner && (v.From != key || v.To != key) {
+			t.Errorf("its owner has the keys %d to %d too", v.From, v.To)
+		}
+	}
+}
--- a/internal/plan/keys/plan.go
+++ b/internal/plan/keys/plan.go
@@ -44,6 +44,12 @@
 	// keyPriceRatio is the price of moving a key as a share of the median request rate
 	// of a key: its requests wait and its next owner has to warm up.
 	keyPriceRatio = 0.5
+	// divisionRatio is the utilisation, as a multiple of the overload bound, above which
+	// the hot ranges of a target are divided in one plan.
+	divisionRatio = 2
+	// hotDensity is the request rate of a key, as a multiple of the price of moving it,
+	// above which a range is hot.
+	hotDensity = 10
 	// hotGain is the ratio of the new to the old utilisation below which a key
 	// that alone keeps a target busy moves to a faster one. The service times of
 	// loaded targets vary by about a quarter; a ratio closer to 1 would move the
@@ -228,6 +234,7 @@
 	}
 	b.observations = observed
 	p.moveHotKeys(maxMoves)
+	p.divideHotRanges()
 	// stuck marks members without a move that gains enough.
 	stuck := make([]bool, len(m))
 	for len(p.moves) < maxMoves {
@@ -291,6 +298,72 @@
 	}
 }
 
+// divideHotRanges plans to divide the hot ranges of members far above the overload bound:
+// each piece goes to the member with the most room, and takes no more than it. The moves
+// take few keys and are not counted: one move at a time would pass the same keys on from
+// target to target.
+func (p *plan) divideHotRanges() {
+	bound := p.overloadBound()
+	for i := range p.members {
+		for p.loads[i]-p.standardError(i) > divisionRatio*bound {
+			h := p.hotRange(i)
+			if h == nil || !p.divide(i, h, bound) {
+				break
+			}
+		}
+	}
+}
+
+// hotRange returns the adjacent keys of a member that are worth most to move, or nil if
+// they are not hot.
+func (p *plan) hotRange(owner int) *schema.KeyRange {
+	h := p.selectKeys(owner, math.Inf(1))
+	if h == nil || p.rate(h) < hotDensity*p.keyPrice*float64(h.To-h.From+1) {
+		return nil
+	}
+	return h
+}
+
+// divide moves keys of a hot range from its start until its owner is down to the bound or
+// nobody has room. A key that nobody has room for stays. It reports whether it moved any.
+func (p *plan) divide(owner int, h *schema.KeyRange, bound float64) bool {
+	moved := false
+	for from := h.From; from <= h.To && p.loads[owner] > bound; {
+		to, room := p.mostRoom(bound)
+		if room < minGain*p.members[to].Weight {
+			break
+		}
+		count := p.prefixWithin(subrange(h, from, h.To), room)
+		if count == 0 {
+			from++
+			continue
+		}
+		n := subrange(h, from, from+count-1)
+		p.move(n, to)
+		p.take(owner, n)
+		from, moved = from+count, true
+	}
+	return moved
+}
+
+// mostRoom returns the member that can take the most requests per second up to a
+// utilisation, and how many.
+func (p *plan) mostRoom(bound float64) (to int, room float64) {
+	for i, v := range p.loads {
+		if n := (bound - v) * p.members[i].Weight; n > room {
+			to, room = i, n
+		}
+	}
+	return to, room
+}
+
+// prefixWithin returns the number of keys in the longest prefix of a range whose
+// request rate is at most want.
+func (p *plan) prefixWithin(r *schema.KeyRange, want float64) uint32 {
+	n := sort.Search(int(r.To-r.From+1), func(i int) bool { return p.rateOf(r.From, r.From+uint32(i)) > want })
+	return uint32(n)
+}
+
 // overloadBound returns the utilisation above which a member counts as
 // overloaded.
 func (p *plan) overloadBound() float64 {
