--- a/internal/gate/keeper/keeper.go
+++ b/internal/gate/keeper/keeper.go
@@ -58,7 +58,7 @@
 	goneReleaseTimeout = 800 * time.Millisecond
 	// rebalanceInterval is the time between plans for balancing the load.
 	rebalanceInterval = time.Second
-	// A plan for balance has at most minMoveLimit moves, or one for each
+	// Without hot ranges, a plan for balance has at most minMoveLimit moves, or one for each
 	// targetsPerMove targets if that is more: each move makes requests for some
 	// keys wait.
 	minMoveLimit   = 6
--- a/internal/plan/keys/plan.go
+++ b/internal/plan/keys/plan.go
@@ -216,9 +216,10 @@
 }
 
 // Plan returns moves from the members with the highest utilisation to those with
-// the lowest, as long as each gains enough, until there are maxMoves. Ranges whose
-// owners are not members don't move. coming holds the keys that are being moved, with
-// their next owners. It is called at about equal intervals.
+// the lowest, as long as each gains enough, until there are maxMoves; those that divide a
+// hot range are not bounded. Ranges whose owners are not members don't move. coming holds
+// the keys that are being moved, with their next owners. It is called at about equal
+// intervals.
 func (b *Balancer) Plan(r, coming Ranges, m []Member, l *Rates, maxMoves int) []Move {
 	if len(m) < 2 {
 		return nil
