keys: keys without requests aren't worth moving

If few keys have all requests, the median request rate of a key is 0, and so was the price of a move: the division of a hot range took the cold keys beside it along. The price is now twice the rate that a key without requests counts with, at least.

--- a/internal/plan/keys/keys_test.go
+++ b/internal/plan/keys/keys_test.go
@@ -403,6 +403,24 @@
 	}
 }
 
+// Puts all requests on 200 adjacent keys of one target. Guards against keys without requests
+// that change hands along with them.
+func TestIdleKeysStay(t *testing.T) {
+	m := unevenMembers(96)
+	r := Initial(m, 1)
+	var l Load
+	for k := range uint32(200) {
+		l.Add(second, 30000+k, 0.9/0.35)
+	}
+	moved := 0
+	for _, v := range new(Balancer).Plan(r, nil, m, l.Rates(second), 12) {
+		moved += int(v.Range.To-v.Range.From) + 1
+	}
+	if moved == 0 || moved > 200 {
+		t.Errorf("%d keys move", moved)
+	}
+}
+
 // Puts more load on one key than any target can serve. Guards against other keys that wait
 // behind it for longer than one plan.
 func TestKeyAboveAnyTargetIsAlone(t *testing.T) {
--- a/internal/plan/keys/plan.go
+++ b/internal/plan/keys/plan.go
@@ -44,6 +44,8 @@
 	// keyPriceRatio is the price of moving a key as a share of the median request rate
 	// of a key: its requests wait and its next owner has to warm up.
 	keyPriceRatio = 0.5
+	// minKeyPrice is the least price of a key: keys without requests are not worth moving.
+	minKeyPrice = 2 * idleRate
 	// divisionRatio is the utilisation, as a multiple of the overload bound, above which
 	// the hot ranges of a target are divided in one plan.
 	divisionRatio = 2
@@ -84,7 +86,7 @@
 		p.byID[v.ID] = i
 	}
 	if l != nil {
-		p.keyPrice = keyPriceRatio * l.median()
+		p.keyPrice = max(keyPriceRatio*l.median(), minKeyPrice)
 	}
 	for _, v := range r {
 		if i := p.index(v); i >= 0 {
