subcmd, lint: a configuration is checked before it is sent

Only errors make the exit code 1. check FILE --in-force does the same for an organisation's text.

DecodeDesired now collects all faults; what it accepts is unchanged. The matching of routes moves from entry to a package of its own, so that the check asks the same code.

Ruled out: warm-up rates and time-outs against service times, which a configuration doesn't state; little's law with the latency objective would have warned of rates that targets take.

Tests: golden files of 17 commands; properties of the differences (they lead from the old text to the new one, and equal texts have none) and of the routes that never match.

--- a/internal/gate/entry/entry.go
+++ b/internal/gate/entry/entry.go
@@ -15,6 +15,7 @@
 	"dandelionrock.example/dandelionrock/internal/gate/depot"
 	"dandelionrock.example/dandelionrock/internal/gate/group"
 	"dandelionrock.example/dandelionrock/internal/gate/hangup"
+	"dandelionrock.example/dandelionrock/internal/gate/match"
 	"dandelionrock.example/dandelionrock/internal/gate/meter"
 	"dandelionrock.example/dandelionrock/internal/gate/warden"
 	"dandelionrock.example/dandelionrock/internal/header"
@@ -161,7 +162,7 @@
 		e.refuse(w, r, http.StatusServiceUnavailable, "no-configuration", e.configurationRetryAfter())
 		return
 	}
-	route := match(v.Desired, r)
+	route := match.Route(v.Desired.Routes, r.Host, uri(r))
 	if route == nil && e.mayBeOutdated() {
 		e.refuse(w, r, http.StatusServiceUnavailable, "configuration-outdated", retryAfterOutdated)
 		return
@@ -221,7 +222,7 @@
 	if d == nil || e.Leaving() {
 		return false
 	}
-	t := match(d, r)
+	t := match.Route(d.Routes, r.Host, uri(r))
 	return t != nil && t.Idempotent
 }
 
--- a/internal/subcmd/subcmd.go
+++ b/internal/subcmd/subcmd.go
@@ -83,7 +83,7 @@
 	return []command{
 		{"serve", "Run an instance", "Runs an instance until SIGTERM or SIGINT, then finishes its requests and hands its homes over. A second signal ends it at once.", &serve{r: r}},
 		{"gateway", "Run an instance on the users' platform", "Runs an instance whose settings file the platform provides, until SIGTERM or SIGINT. A second signal ends it at once.", &gateway{r: r}},
-		{"check", "Check a configuration without an instance", "Checks the configuration text of an organisation, or the settings of an instance, and prints every fault as file:line: cause.", &check{r: r}},
+		{"check", "Check a configuration without an instance", checkHelp, &check{r: r}},
 		{"submit", "Submit the configuration of an organisation", submitHelp, &submit{r: r}},
 		{"status", "Show an instance, its peers and homes", "Shows the status of an instance, and what it knows about the others.", &status{r: r}},
 		{"fleet", "Compare what the instances of the gateway run with", fleetHelp, &fleetCommand{r: r}},
