fleet, meter, pool: the report tells who waits, what is refused, and which targets take less

Operators saw waiting and refused requests only in the metrics of each instance, and the limits and the pace of a target only in debug logs of its home. The report of fleet sums them up by service: answered in time, late, not served by reason, returned, running, waiting; and it names each target that gets fewer requests than it has slots, with its home, its found service time, its limit and the reason.

Instances answer from what they hold; nothing new passes unless a report is asked for. The meter counts outcomes a second time, since the values of labels are changed on their way to the metrics. A former home's view of a target is left out.

--- a/internal/gate/entry/respond.go
+++ b/internal/gate/entry/respond.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dandelionrock.example/dandelionrock/clock"
+	"dandelionrock.example/dandelionrock/internal/gate/meter"
 	"dandelionrock.example/dandelionrock/internal/header"
 	"dandelionrock.example/dandelionrock/schema"
 )
@@ -48,9 +49,9 @@
 
 // logAnswer counts a target's response and logs it.
 func (q *request) logAnswer(a *schema.SendReply, took time.Duration, err error) {
-	outcome, late := "answered", q.begin.Add(took) > q.objective
+	outcome, late := meter.Answered, q.begin.Add(took) > q.objective
 	if late {
-		outcome = "late"
+		outcome = meter.Late
 	}
 	q.count(outcome, took)
 	if !late && q.sent+q.unsent == 1 && err == nil && q.message.Call%sampleInterval != 0 {
--- a/internal/gate/fleet/fleet.go
+++ b/internal/gate/fleet/fleet.go
@@ -1,4 +1,5 @@
-// Package fleet compares what the instances of a deployment run with.
+// Package fleet compares what the instances of a deployment run with, and sums up how they
+// serve requests.
 package fleet
 
 import (
@@ -36,6 +37,8 @@
 	Fault string `json:"settings-fault,omitempty"`
 	// Configuration is the version of the configuration in force.
 	Configuration uint64 `json:"configuration"`
+	// Services tells how the instance serves requests, by service.
+	Services []Service `json:"services,omitempty"`
 	// Deviations holds in what the instance deviates from the others. Compare sets
 	// it.
 	Deviations []string `json:"deviations,omitempty"`
@@ -47,6 +50,8 @@
 	// Settings and Configuration are those that most instances run with.
 	Settings      string `json:"settings"`
 	Configuration uint64 `json:"configuration"`
+	// Services holds the sums over all instances, by name.
+	Services []Service `json:"services,omitempty"`
 }
 
 // Compare returns the report on instances, ordered by id.
@@ -59,6 +64,7 @@
 		i := &r.Instances[n]
 		i.Deviations = r.deviations(*i)
 	}
+	r.Services = sum(r.Instances)
 	return r
 }
 
@@ -130,7 +136,10 @@
 		return err
 	}
 	_, err := fmt.Fprintf(out, "%d of %d instances deviate; most run settings %s and configuration %d\n", r.Deviating(), len(r.Instances), r.Settings, r.Configuration)
-	return err
+	if err != nil || len(r.Services) == 0 {
+		return err
+	}
+	return writeServices(out, r.Services)
 }
 
 func (i Instance) state() string {
--- a/internal/gate/group/state.go
+++ b/internal/gate/group/state.go
@@ -4,6 +4,7 @@
 	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/internal/gate/sender"
 	"dandelionrock.example/dandelionrock/internal/plan/pace"
+	"dandelionrock.example/dandelionrock/internal/plan/pool"
 	"dandelionrock.example/dandelionrock/platform"
 	"dandelionrock.example/dandelionrock/schema"
 )
@@ -83,3 +84,25 @@
 		h.meter.Pace(g.id.Service, p.Slow, p.Held)
 	}
 }
+
+// State tells how a group is served.
+type State struct {
+	Group ID
+	// Running and Waiting count the requests at the targets and those that wait for them.
+	Running, Waiting int
+	Reduced          []pool.Reduced
+}
+
+// States returns the states of all groups to which this instance has sent requests.
+func (h *Homes) States() []State {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := clock.Boot()
+	var out []State
+	for _, g := range h.groups {
+		g.mu.Lock()
+		out = append(out, State{g.id, len(g.running), len(g.waiting), g.pool.Reduced(now)})
+		g.mu.Unlock()
+	}
+	return out
+}
--- a/internal/gate/meter/meter.go
+++ b/internal/gate/meter/meter.go
@@ -32,6 +32,7 @@
 	mu sync.Mutex
 	// settings is the digest of the settings in force.
 	settings string
+	totals   map[string]*Totals
 }
 
 // New returns a Meter. A metric that can't be registered is logged and left
@@ -45,7 +46,7 @@
 		Prefix: "dandelionrock", CachedReporter: r, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
 	}, reportInterval)
-	return &Meter{scope: s, closer: c, text: r.HTTPHandler()}
+	return &Meter{scope: s, closer: c, text: r.HTTPHandler(), totals: map[string]*Totals{}}
 }
 
 // Close stops reporting.
@@ -54,12 +55,13 @@
 // ServeHTTP serves the metrics in the Prometheus text format.
 func (m *Meter) ServeHTTP(w http.ResponseWriter, r *http.Request) { m.text.ServeHTTP(w, r) }
 
-// Request counts a client's request by its service and outcome: answered, late,
+// Request counts a client's request by its service and outcome: Answered, Late,
 // or the reason of a failure.
 func (m *Meter) Request(service, outcome string, took time.Duration) {
 	s := m.scope.Tagged(map[string]string{"service": service, "outcome": outcome})
 	s.Counter("requests").Inc(1)
 	s.Histogram("request_latency", latencyBuckets).RecordDuration(took)
+	m.countRequest(service, outcome)
 }
 
 // Target counts a request that was sent to a target by its service and outcome.
@@ -128,6 +130,7 @@
 // try as in Request.
 func (m *Meter) Returned(service, outcome string) {
 	m.scope.Tagged(map[string]string{"service": service, "outcome": outcome}).Counter("returned_requests").Inc(1)
+	m.countReturned(service)
 }
 
 // Cold counts a target that said in a check that it has become cold or is warm again.
--- a/internal/subcmd/fleet.go
+++ b/internal/subcmd/fleet.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-const fleetHelp = `Asks one instance of the gateway, at its metrics address, for what all instances run with: settings, configuration and state. Marks those that deviate from most others or did not answer. The exit code is 0 only if all agree.`
+const fleetHelp = `Asks one instance of the gateway, at its metrics address, for what all instances run with: settings, configuration and state. Marks those that deviate from most others or did not answer. Also shows, for each service, the requests of clients since the instances started and those that wait now, and which targets get fewer requests than they have slots, and why. The exit code is 0 only if all agree.`
 
 // errDeviating reports that instances don't all run with the same.
 var errDeviating = errors.New("instances deviate")
--- a/internal/subcmd/subcmd_test.go
+++ b/internal/subcmd/subcmd_test.go
@@ -158,6 +158,8 @@
 		{"fleet", "fleet --instance URL", &fakeInstance{}},
 		{"fleet-agreeing", "fleet --instance URL/agreeing", &fakeInstance{}},
 		{"fleet-json", "fleet --instance URL/two --json", &fakeInstance{}},
+		{"fleet-busy", "fleet --instance URL/busy", &fakeInstance{}},
+		{"fleet-busy-json", "fleet --instance URL/busy --json", &fakeInstance{}},
 		{"fleet-bad-url", "fleet --instance 127.0.0.1", &fakeInstance{}},
 		{"fleet-other-server", "fleet --instance URL/other", &fakeInstance{}},
 		{"check-no-file", "check missing.toml", &fakeInstance{}},
