lint: a field that instances don't read is a warning

A configuration of the platform may hold fields that concern others than instances; a whole one, as the platform's pages show it, was refused with five errors (base-ver, protocol, grants). A slip in the name of a field is still shown.

--- a/internal/gate/lint/lint.go
+++ b/internal/gate/lint/lint.go
@@ -118,7 +118,11 @@
 func findings(s Severity, faults []platform.Fault) []Finding {
 	var out []Finding
 	for _, f := range faults {
-		out = append(out, Finding{s, f})
+		n := Finding{s, f}
+		if errors.Is(f.Cause, platform.ErrUnknownField) {
+			n.Severity = Warning
+		}
+		out = append(out, n)
 	}
 	return out
 }
