entry: one function takes time off a request

preview and callHome each took the time of a call off what a request has left and off its objective. Behaviour is as before; the tests of entry pass.

--- a/internal/gate/entry/pieces.go
+++ b/internal/gate/entry/pieces.go
@@ -84,9 +84,10 @@
 		e.withdraw(i, m.Call)
 		return true, errors.Mark(err, relay.ErrNotSent)
 	}
-	body, took := m.Body, clock.Boot().Sub(begin).Milliseconds()
-	m.Body, m.LeftMs, m.ObjectiveMs = nil, m.LeftMs-took, m.ObjectiveMs-took
+	body := m.Body
+	m.Body = nil
 	defer func() { m.Body = body }()
+	deductSince(m, begin)
 	return true, e.Pool.Call(c, i.RPCAddress, "Gate.SendStored", &schema.SendStoredRequest{Request: m, Length: int64(len(body))}, a)
 }
 
@@ -100,8 +101,7 @@
 	m.Body = nil
 	err = e.Pool.Call(c, i.RPCAddress, "Gate.Preview", m, a)
 	m.Body = body
-	took := clock.Boot().Sub(begin).Milliseconds()
-	m.LeftMs, m.ObjectiveMs = m.LeftMs-took, m.ObjectiveMs-took
+	deductSince(m, begin)
 	var unknown rpc.ServerError
 	switch {
 	case errors.As(err, &unknown):
@@ -113,6 +113,12 @@
 	return a.Outcome == schema.SendOutcome_SEND_OUTCOME_REFUSED, nil
 }
 
+// deductSince takes the time since begin off the times that a request has left.
+func deductSince(m *schema.SendRequest, begin clock.Time) {
+	took := clock.Boot().Sub(begin).Milliseconds()
+	m.LeftMs, m.ObjectiveMs = m.LeftMs-took, m.ObjectiveMs-took
+}
+
 // sendPieces sends the body of a request to its home. It fails with depot.ErrFull if the
 // home has no memory for it.
 func (e *Entry) sendPieces(c context.Context, h realm.Permitted[peer.Instance], t depot.Account, m *schema.SendRequest) error {
