--- a/internal/gate/entry/respond.go
+++ b/internal/gate/entry/respond.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dandelionrock.example/dandelionrock/clock"
+	"dandelionrock.example/dandelionrock/internal/gate/logs"
 	"dandelionrock.example/dandelionrock/internal/gate/meter"
 	"dandelionrock.example/dandelionrock/internal/header"
 	"dandelionrock.example/dandelionrock/schema"
@@ -42,11 +43,6 @@
 	}
 }
 
-// sampleInterval is the number of answered requests for each one that is logged.
-// Requests that were late, took several tries or whose response could not be
-// written are always logged.
-const sampleInterval = 64
-
 // logAnswer counts a target's response and logs it.
 func (q *request) logAnswer(a *schema.SendReply, took time.Duration, err error) {
 	outcome, late := meter.Answered, q.begin.Add(took) > q.objective
@@ -54,7 +50,7 @@
 		outcome = meter.Late
 	}
 	q.count(outcome, took)
-	if !late && q.sent+q.unsent == 1 && err == nil && q.message.Call%sampleInterval != 0 {
+	if !late && q.sent+q.unsent == 1 && err == nil && q.message.Call%logs.SampleInterval != 0 {
 		return
 	}
 	q.entry.Log.Info().Str("event", "request-answered").Str("request", q.attempt).Str("route", q.route.Name).Str("service", q.service.Name).
--- a/internal/gate/logs/logs.go
+++ b/internal/gate/logs/logs.go
@@ -22,6 +22,11 @@
 	reportInterval = time.Second
 )
 
+// SampleInterval is the number of answered requests for each one that is logged.
+// Requests that were late, took several tries or whose response could not be
+// written are always logged.
+const SampleInterval = 64
+
 // Writer passes lines on to another writer in the background. Use New.
 type Writer struct {
 	out     io.Writer
--- a/internal/trial/lines/lines.go
+++ b/internal/trial/lines/lines.go
@@ -10,17 +10,13 @@
 	"net/http"
 	"time"
 
+	"dandelionrock.example/dandelionrock/internal/gate/logs"
 	"dandelionrock.example/dandelionrock/internal/trial/bound"
 	"github.com/cockroachdb/errors"
 )
 
-const (
-	// sampleInterval is the number of requests in time for each one that is logged without
-	// another reason.
-	sampleInterval = 64
-	// maxLine is the length of the longest line, in bytes.
-	maxLine = 1 << 20
-)
+// maxLine is the length of the longest line, in bytes.
+const maxLine = 1 << 20
 
 // Log is what was read. The zero value is ready for use.
 type Log struct {
@@ -83,7 +79,7 @@
 		if n.Late {
 			d.Outcome = bound.Late
 		} else if n.Sent+n.Unsent == 1 && n.Error == nil {
-			d.Stands = sampleInterval
+			d.Stands = logs.SampleInterval
 		}
 	case "keys-taken":
 		l.Freed = append(l.Freed, bound.Freed{At: ms(n.Time), Service: n.Service, From: n.From, To: n.To, Lost: n.How != "released"})
