Review: a home that stops breaks off orders although their entry has time left

Cause: a home ends the requests of other instances 5.5 s after its SIGTERM, and an order can't be repeated. Shown by a script: the home of three orders is stopped, and 2 s later the instance that took them; all three are broken off while their target is at work, and answered 502. The scenes' addresses don't overlap with those of the tests any more. Nothing is fixed.

--- a/review/rig/scene.go
+++ b/review/rig/scene.go
@@ -48,6 +48,13 @@
 	log          *os.File
 }
 
+// The loopback addresses of a scene begin with 127, one of networks numbers from
+// firstNetwork on, and subnet, which the tests of the repository don't use.
+const (
+	firstNetwork, networks = 20, 200
+	subnet                 = 200
+)
+
 func newScene(record string, trouble bool) (*scene, error) {
 	f, err := os.Create(record)
 	if err != nil {
@@ -57,8 +64,15 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &scene{trouble: trouble, network: fmt.Sprintf("127.%d", 20+os.Getpid()%200), dir: dir, begin: time.Now(), record: f, ledger: fake.NewLedger()}
-	if s.store, err = fake.NewStore(s.network + ".0.1:0"); err != nil {
+	s := &scene{trouble: trouble, dir: dir, begin: time.Now(), record: f, ledger: fake.NewLedger()}
+	// The store's port keeps scenes apart that run at the same time.
+	for n := range networks {
+		s.network = fmt.Sprintf("127.%d.%d", firstNetwork+(os.Getpid()+n)%networks, subnet)
+		if s.store, err = fake.NewStore(s.network + ".1:18000"); err == nil {
+			break
+		}
+	}
+	if err != nil {
 		return nil, err
 	}
 	return s, nil
@@ -88,13 +102,13 @@
 // startTarget starts a target with the settings of t.
 func (s *scene) startTarget(t *fake.Target) error {
 	s.targets = append(s.targets, t)
-	return t.Start(s.network+".0.2:0", s.store, s.ledger)
+	return t.Start(s.network+".2:0", s.store, s.ledger)
 }
 
 // startGateway starts a gateway in a failure domain of fake.Settings.
 func (s *scene) startGateway(domain string) (*gateway, error) {
 	n := len(s.gateways) + 1
-	g := &gateway{id: fmt.Sprint("edge-", n), ip: fmt.Sprintf("%s.1.%d", s.network, n)}
+	g := &gateway{id: fmt.Sprint("edge-", n), ip: fmt.Sprintf("%s.%d", s.network, 10+n)}
 	g.file = filepath.Join(s.dir, g.id)
 	text := fake.Settings(g.id, g.ip, domain, domain[:1], s.store.Address())
 	text = strings.Replace(text, "limits.memory-mb=256", fmt.Sprint("limits.memory-mb=", memoryMB, "\nlimits.max-fds=", descriptors), 1)
@@ -151,6 +165,9 @@
 		if g.ready() {
 			return nil
 		}
+		if g.hasEnded() {
+			return fmt.Errorf("%s has ended", g.id)
+		}
 	}
 	return fmt.Errorf("%s is not ready", g.id)
 }
@@ -239,9 +256,10 @@
 }
 
 // putConfiguration writes the configuration as the operator does, with the max-body-bytes
-// of the sample.
+// of the sample, and a timeout of 6 s for the route of orders.
 func (s *scene) putConfiguration() {
 	text := strings.Replace(string(fake.Configuration(1, "")), `"max-body-bytes":65536`, `"max-body-bytes":67108864`, 1)
+	text = strings.Replace(text, `"prefix":"/orders/","type":"non_idempotent","timeout":"2500ms"`, `"prefix":"/orders/","type":"non_idempotent","timeout":"6000ms"`, 1)
 	s.store.Put(platform.TableDesired, platform.KeyDesired, []byte(text))
 }
 
