Review: a keyed service is not served any more once its row of owners is too long

Cause: the row with the owners of a service's keys grows without a bound, and a write that the store refuses for its length is tried for ever, with the keys of its moves held by nobody. Nothing is fixed.

--- a/review/rig/scene.go
+++ b/review/rig/scene.go
@@ -33,6 +33,8 @@
 	begin   time.Time
 	store   *fake.Store
 	ledger  *fake.Ledger
+	// storeAddress is that of the store as the gateways see it.
+	storeAddress string
 
 	mu       sync.Mutex
 	record   *os.File
@@ -69,6 +71,7 @@
 	for n := range networks {
 		s.network = fmt.Sprintf("127.%d.%d", firstNetwork+(os.Getpid()+n)%networks, subnet)
 		if s.store, err = fake.NewStore(s.network + ".1:18000"); err == nil {
+			s.storeAddress = s.store.Address()
 			break
 		}
 	}
@@ -110,8 +113,8 @@
 	n := len(s.gateways) + 1
 	g := &gateway{id: fmt.Sprint("edge-", n), ip: fmt.Sprintf("%s.%d", s.network, 10+n)}
 	g.file = filepath.Join(s.dir, g.id)
-	text := fake.Settings(g.id, g.ip, domain, domain[:1], s.store.Address())
-	text = strings.Replace(text, "limits.memory-mb=256", fmt.Sprint("limits.memory-mb=", memoryMB, "\nlimits.max-fds=", descriptors), 1)
+	text := fake.Settings(g.id, g.ip, domain, domain[:1], s.storeAddress)
+	text = strings.Replace(text, "limits.memory-mb=256", fmt.Sprint("limits.memory-mb=", memoryMB, "\nlimits.max-fds=", descriptors, "\nplatform.row-bytes=65536"), 1)
 	text = strings.Replace(text, "limits.cpu-share=1\n", "limits.cpu-share=0.32\n", 1)
 	if err := os.WriteFile(g.file, []byte(text), 0o600); err != nil {
 		return nil, err
