relay: a server that lacks descriptors goes on to accept

Callers saw: after a lack of descriptors of a few seconds an instance answered no other instance any more, for as long as it ran. Cause: Serve returned with the first error of Accept that isn't a timeout. Change: EMFILE, ENFILE, ENOBUFS, ENOMEM and ECONNABORTED pause it for 5 to 200 ms. Why it works: these errors say nothing about the listener, and pass when connections end; a listener that is closed still ends Serve at once.

--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -4,11 +4,19 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
+// minAcceptPause and maxAcceptPause bound the pause before a connection is accepted again
+// after the system had no room for one.
+const (
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = 200 * time.Millisecond
+)
+
 // Server answers calls. Use NewServer.
 type Server struct {
 	rpc     *rpc.Server
@@ -41,7 +49,8 @@
 func (s *Server) RegisterName(name string, r any) error { return s.rpc.RegisterName(name, r) }
 
 // Serve accepts connections on l until Close is called, then returns nil. It
-// closes l.
+// closes l. While the process or the system lacks descriptors or memory for a connection,
+// it goes on and tries again.
 func (s *Server) Serve(l net.Listener) error {
 	defer l.Close()
 	s.mu.Lock()
@@ -51,15 +60,22 @@
 	}
 	s.listeners[l] = struct{}{}
 	s.mu.Unlock()
+	var pause time.Duration
 	for {
 		c, err := l.Accept()
 		if err == nil {
 			s.start(c)
+			pause = 0
 			continue
 		}
 		if t, ok := err.(net.Error); ok && t.Timeout() {
 			continue
 		}
+		if errors.IsAny(err, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED) {
+			pause = min(max(2*pause, minAcceptPause), maxAcceptPause)
+			time.Sleep(pause)
+			continue
+		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.listeners, l)
