--- a/internal/gate/depot/depot.go
+++ b/internal/gate/depot/depot.go
@@ -12,7 +12,7 @@
 	"sync/atomic"
 	"syscall"
 
-	"dandelionrock.example/dandelionrock/internal/plan/unread"
+	"dandelionrock.example/dandelionrock/internal/plan/shed"
 	"github.com/cockroachdb/errors"
 )
 
@@ -61,7 +61,7 @@
 // New returns a Depot without bodies.
 func New() *Depot {
 	d := &Depot{accounts: map[Account]int64{}}
-	d.held.ledger, d.held.tabs = unread.New(0), map[unread.ID]*Tab{}
+	d.held.ledger, d.held.tabs = shed.New(0), map[shed.ID]*Tab{}
 	d.SetMemory(defaultMemory)
 	return d
 }
@@ -307,7 +307,7 @@
 				// The old and the new buffer exist at the same time.
 				more := n + int64(cap(b)) - reserved
 				reserved += more
-				within := d.held.hold(unread.Others, more)
+				within := d.held.hold(shed.Others, more)
 				if d.responses.Add(more) > d.responseLimit.Load() || len(b) >= MaxResponse || !within {
 					return nil, ErrTooLong
 				}
--- a/internal/gate/depot/held.go
+++ b/internal/gate/depot/held.go
@@ -4,7 +4,7 @@
 	"sync"
 
 	"dandelionrock.example/dandelionrock/clock"
-	"dandelionrock.example/dandelionrock/internal/plan/unread"
+	"dandelionrock.example/dandelionrock/internal/plan/shed"
 )
 
 // heldShare is the share of the memory for all that is held of responses, and for requests
@@ -16,24 +16,24 @@
 // held is the memory for responses.
 type held struct {
 	mu     sync.Mutex
-	ledger *unread.Ledger
+	ledger *shed.Ledger
 	// tabs holds the connections that have not been closed.
-	tabs map[unread.ID]*Tab
-	last unread.ID
+	tabs map[shed.ID]*Tab
+	last shed.ID
 }
 
 // Tab is what is held for a connection of a client. A nil Tab counts nothing and always
 // has room. Its methods may be called concurrently.
 type Tab struct {
 	held *held
-	id   unread.ID
+	id   shed.ID
 	// evict is called in a goroutine of its own when the connection is to be closed.
-	evict func(unread.Victim)
+	evict func(shed.Victim)
 }
 
 // Open returns the tab of a new connection, which must be closed. evict must close the
 // connection, and so have all that it holds given back.
-func (d *Depot) Open(evict func(unread.Victim)) *Tab {
+func (d *Depot) Open(evict func(shed.Victim)) *Tab {
 	h := &d.held
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -45,7 +45,7 @@
 
 // Hold counts n bytes that belong to no connection of this instance, or gives them back if
 // n is negative.
-func (d *Depot) Hold(n int64) { d.held.hold(unread.Others, n) }
+func (d *Depot) Hold(n int64) { d.held.hold(shed.Others, n) }
 
 // Held returns the bytes that are held.
 func (d *Depot) Held() int64 {
@@ -55,10 +55,10 @@
 }
 
 // hold changes the bytes of a connection and reports whether they are within the limit.
-func (h *held) hold(id unread.ID, n int64) bool {
+func (h *held) hold(id shed.ID, n int64) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.ledger.Hold(id, unread.Bytes(n))
+	h.ledger.Hold(id, shed.Bytes(n))
 	if n > 0 {
 		h.evict()
 	}
@@ -81,7 +81,7 @@
 func (h *held) setLimit(n int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.ledger.SetLimit(unread.Bytes(n))
+	h.ledger.SetLimit(shed.Bytes(n))
 	h.evict()
 }
 
--- a/internal/gate/hangup/held.go
+++ b/internal/gate/hangup/held.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"dandelionrock.example/dandelionrock/internal/gate/depot"
-	"dandelionrock.example/dandelionrock/internal/plan/unread"
+	"dandelionrock.example/dandelionrock/internal/plan/shed"
 )
 
 const (
@@ -41,7 +41,7 @@
 
 // evict closes the connection at once: what the client has not received is dropped, also
 // by the kernel.
-func (c *conn) evict(v unread.Victim) {
+func (c *conn) evict(v shed.Victim) {
 	e := Eviction{Remote: c.RemoteAddr(), Bytes: int64(v.Bytes), Blocked: v.Blocked, Owed: c.owed()}
 	c.mu.Lock()
 	n, closed := c.runner, c.closed
--- a/internal/plan/unread/unread.go
+++ b/internal/plan/shed/shed.go
@@ -1,7 +1,7 @@
-// Package unread decides which connections are closed when responses take too much memory
+// Package shed decides which connections are closed when responses take too much memory
 // because clients read them slowly or not at all. It answers the load of clients that send
 // many requests ahead, get long responses and read little of them. It performs no I/O.
-package unread
+package shed
 
 import (
 	"time"
--- a/internal/plan/unread/unread_test.go
+++ b/internal/plan/shed/shed_test.go
@@ -1,4 +1,4 @@
-package unread
+package shed
 
 import (
 	"fmt"
