depot, hangup, entry: unfinished and small bodies are counted and end

Cause: bodies of up to 64 KiB were admitted always, counted nowhere and read without a deadline; a request that was refused before its body was read waited for the rest of a short body without a deadline, too. Change: such bodies are held for their connection in the ledger of responses, from the moment at which their buffer is allocated, and refused without room (503 bodies-full). The ledger knows each connection from its accept on, and whether its client keeps the instance waiting: under pressure those that hold something and send less than 64 KiB/s are closed. A refusal before the body was read ends the connection. A home counts requests with bodies of other instances, and refuses them (503 memory-full). Metrics unread_connections_closed and unread_bytes_dropped are evicted_connections and evicted_bytes, by reason. Why it works: each byte of a request is in an account before it is resident, and the account is paid by those who hold most for longest without sending.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -109,7 +109,7 @@
 	// which is not permitted on every machine.
 	u := &url.URL{Scheme: "http", Host: l.Addr().String()}
 	g := linger.New()
-	s := khttp.NewServer(khttp.Listener(hangup.NewListener(l, g)), khttp.Endpoint(u), khttp.Timeout(0), khttp.StrictSlash(false), khttp.Filter(filter),
+	s := khttp.NewServer(khttp.Listener(hangup.NewListener(l, g, caller)), khttp.Endpoint(u), khttp.Timeout(0), khttp.StrictSlash(false), khttp.Filter(filter),
 		khttp.NotFoundHandler(caller), khttp.MethodNotAllowedHandler(caller))
 	s.ConnContext = hangup.ConnContext
 	s.ReadHeaderTimeout, s.IdleTimeout, s.MaxHeaderBytes = headerTimeout, idleTimeout, maxHeaderBytes
--- a/internal/fault/crowd/crowd_test.go
+++ b/internal/fault/crowd/crowd_test.go
@@ -1,5 +1,5 @@
 // Package crowd runs the program as separate processes and checks that clients that don't
-// read their responses end none of them.
+// behave end none of them: that don't read their responses, or send without end.
 package crowd
 
 import (
@@ -11,8 +11,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -67,10 +65,7 @@
 // Guards an instance against clients that read their responses slowly or not at all: it
 // stays within its memory, and serves others.
 func TestCrowd(t *testing.T) {
-	bin := filepath.Join(t.TempDir(), "dandelionrock")
-	if out, err := exec.Command("go", "build", "-o", bin, "dandelionrock.example/dandelionrock/cmd/dandelionrock").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
+	bin := build(t)
 	memories, played := []int{144}, crowds[:usual]
 	if *allFlag {
 		memories, played = []int{144, 184, 284}, crowds
@@ -99,7 +94,7 @@
 	}
 	var ps []*process
 	for i := range instances {
-		p := start(t, bin, s, i, memory)
+		p := start(t, bin, s, i, memory, 0)
 		defer p.end()
 		ps = append(ps, p)
 	}
--- a/internal/fault/crowd/process_test.go
+++ b/internal/fault/crowd/process_test.go
@@ -13,6 +13,7 @@
 
 	"dandelionrock.example/dandelionrock/platform"
 	"dandelionrock.example/dandelionrock/platform/fake"
+	"golang.org/x/sys/unix"
 )
 
 // process is a process of the program.
@@ -25,12 +26,27 @@
 	descriptors, kilobytes int
 }
 
-func start(t *testing.T, bin string, s *fake.Store, i, memory int) *process {
+// build builds the program and returns its path.
+func build(t *testing.T) string {
+	t.Helper()
+	bin := filepath.Join(t.TempDir(), "dandelionrock")
+	if out, err := exec.Command("go", "build", "-o", bin, "dandelionrock.example/dandelionrock/cmd/dandelionrock").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return bin
+}
+
+// start starts instance i. Its limits are memory in MB and, unless it is 0, the number of
+// descriptors.
+func start(t *testing.T, bin string, s *fake.Store, i, memory, descriptors int) *process {
 	t.Helper()
 	domain := []string{"a1", "a2", "b1"}[i%3]
 	p := &process{ip: fmt.Sprintf("%s.1.%d", network, i+1), ended: make(chan struct{})}
 	text := fake.Settings(fmt.Sprint("i", i), p.ip, domain, domain[:1], s.Address())
 	text = strings.Replace(text, "limits.memory-mb=256", fmt.Sprint("limits.memory-mb=", memory), 1)
+	if descriptors > 0 {
+		text += fmt.Sprintf("limits.max-fds=%d\n", descriptors)
+	}
 	file := filepath.Join(t.TempDir(), "settings")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
@@ -48,6 +64,11 @@
 		t.Fatal(err)
 	}
 	go func() { _ = p.cmd.Wait(); close(p.ended) }()
+	if l := uint64(descriptors); l > 0 {
+		if err := unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: l, Max: l}, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
 	return p
 }
 
--- a/internal/gate/depot/body.go
+++ b/internal/gate/depot/body.go
@@ -11,13 +11,17 @@
 // Body is the body of a request. A nil Body is empty.
 type Body struct {
 	depot   *Depot
+	tab     *Tab
 	account Account
 	// data holds the bytes that have arrived. It is a part of mapped, unless that is nil.
 	data, mapped []byte
 	// reserved is the number of bytes taken from the depot. While the body is read into
 	// mapped it is at least len(data).
 	reserved int64
-	closed   atomic.Bool
+	// held is the number of bytes that are held for the tab: the size of data while it is
+	// in the heap.
+	held   int64
+	closed atomic.Bool
 }
 
 // Bytes returns the body. It must not be used after Close.
@@ -38,19 +42,20 @@
 		err = syscall.Munmap(b.mapped)
 		b.data, b.mapped = nil, nil
 	}
-	b.depot.give(b.account, b.reserved)
+	b.tab.Hold(-b.held)
+	b.depot.give(b)
 	return errors.Wrap(err, "unmap body")
 }
 
 // Read reads a body of a client account that has the given length, or of unknown length if
-// it is negative. It fails with ErrTooLong for a body of more than limit bytes, and with
-// ErrFull if there is no memory for it: if the length is known, before anything is read.
-// The caller must close the body.
-func (d *Depot) Read(r io.Reader, a Account, length, limit int64) (_ *Body, err error) {
+// it is negative, from the connection of a tab. It fails with ErrTooLong for a body of more
+// than limit bytes, and with ErrFull if there is no memory for it: if the length is known,
+// before anything is read. The caller must close the body.
+func (d *Depot) Read(r io.Reader, t *Tab, a Account, length, limit int64) (_ *Body, err error) {
 	if length > limit {
 		return nil, ErrTooLong
 	}
-	b := &Body{depot: d, account: a}
+	b := &Body{depot: d, tab: t, account: a}
 	whole := false
 	defer func() {
 		// The reader may have panicked.
@@ -73,6 +78,9 @@
 // readFull reads a body of known length.
 func (b *Body) readFull(r io.Reader, length int64) error {
 	if length <= SmallBody {
+		if err := b.admit(length); err != nil {
+			return err
+		}
 		b.data = make([]byte, length)
 	} else if err := b.allocate(length); err != nil {
 		return err
@@ -81,9 +89,18 @@
 	return err
 }
 
+// admit counts n bytes in the heap.
+func (b *Body) admit(n int64) error {
+	if err := b.tab.Admit(n); err != nil {
+		return err
+	}
+	b.held += n
+	return nil
+}
+
 // allocate reserves n bytes and sets data to them.
 func (b *Body) allocate(n int64) error {
-	if err := b.reserve(n); err != nil {
+	if err := b.depot.take(b, n); err != nil {
 		return err
 	}
 	if err := b.mapMemory(n); err != nil {
@@ -96,6 +113,9 @@
 // readAll reads a body of unknown length: a small one into the heap, and a larger one
 // into a mapping in which any permitted body fits.
 func (b *Body) readAll(r io.Reader, limit int64) error {
+	if err := b.admit(firstRead); err != nil {
+		return err
+	}
 	b.data = make([]byte, 0, firstRead)
 	for {
 		if len(b.data) == cap(b.data) {
@@ -119,7 +139,7 @@
 			return err
 		}
 		if b.mapped != nil && len(b.data) == int(b.reserved) {
-			if err := b.reserve(step); err != nil {
+			if err := b.depot.take(b, step); err != nil {
 				return err
 			}
 		}
@@ -132,10 +152,13 @@
 		return ErrTooLong
 	}
 	if n := 2 * cap(b.data); n <= SmallBody {
+		if err := b.admit(int64(n - cap(b.data))); err != nil {
+			return err
+		}
 		b.data = append(make([]byte, 0, n), b.data...)
 		return nil
 	}
-	if err := b.reserve(step); err != nil {
+	if err := b.depot.take(b, step); err != nil {
 		return err
 	}
 	// The byte more than limit tells a body that is too long.
@@ -143,15 +166,8 @@
 		return err
 	}
 	b.data = b.mapped[:copy(b.mapped, b.data)]
-	return nil
-}
-
-func (b *Body) reserve(n int64) error {
-	if err := b.depot.take(b.account, n, b.reserved); err != nil {
-		b.reserved = 0
-		return err
-	}
-	b.reserved += n
+	b.tab.Hold(-b.held)
+	b.held = 0
 	return nil
 }
 
--- a/internal/gate/depot/depot.go
+++ b/internal/gate/depot/depot.go
@@ -24,8 +24,8 @@
 )
 
 const (
-	// SmallBody is the length in bytes up to which a body is always admitted, so that
-	// large bodies don't keep small ones out. Connections have buffers of this size.
+	// SmallBody is the length in bytes up to which a body lies in the heap and counts as
+	// held for its connection, so that large bodies don't keep small ones out.
 	SmallBody = 64 << 10
 	// DefaultMaxBody bounds the body of a request in bytes if the configuration doesn't.
 	DefaultMaxBody = 64 << 20
@@ -68,10 +68,10 @@
 // SetMemory sets the memory of the process in bytes.
 func (d *Depot) SetMemory(n int64) {
 	d.responseLimit.Store(int64(float64(n) * responseShare))
-	d.held.setLimit(int64(float64(n) * heldShare))
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.limit = limitOf(n)
+	d.held.setLimit(n)
 }
 
 // Capacity returns the length in bytes of the longest body that is ever admitted by a
@@ -100,24 +100,32 @@
 	return d.used
 }
 
-// take reserves n bytes for a body that holds some. If there is no room it takes these
-// back at once, so that of several bodies that don't fit together all but one fail, and
-// not all of them.
-func (d *Depot) take(a Account, n, held int64) error {
+// take reserves n more bytes for a body. If there is no room it takes back what the body
+// has, so that of several bodies that don't fit together all but one fail, and not all of
+// them.
+func (d *Depot) take(b *Body, n int64) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !admits(d.limit, d.used, d.accounts[a]-held, held, n) {
-		d.add(a, -held)
+	if !admits(d.limit, d.used, d.accounts[b.account]-b.reserved, b.reserved, n) {
+		d.remove(b)
 		return ErrFull
 	}
-	d.add(a, n)
+	d.add(b.account, n)
+	b.reserved += n
 	return nil
 }
 
-func (d *Depot) give(a Account, n int64) {
+// give gives back what a body has reserved.
+func (d *Depot) give(b *Body) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.add(a, -n)
+	d.remove(b)
+}
+
+// remove is give for a caller that holds mu.
+func (d *Depot) remove(b *Body) {
+	d.add(b.account, -b.reserved)
+	b.reserved = 0
 }
 
 // add changes the bytes of an account. The caller holds mu.
--- a/internal/gate/depot/depot_test.go
+++ b/internal/gate/depot/depot_test.go
@@ -89,5 +89,5 @@
 			b, err = nil, io.ErrNoProgress
 		}
 	}()
-	return d.Read(r, a, length, limit)
+	return d.Read(r, nil, a, length, limit)
 }
--- a/internal/gate/depot/fair_test.go
+++ b/internal/gate/depot/fair_test.go
@@ -12,7 +12,7 @@
 	content := bytes.NewReader(make([]byte, limit))
 	take := func(d *Depot, a Account, n int64) bool {
 		_, _ = content.Seek(0, 0)
-		_, err := d.Read(content, a, n, limit)
+		_, err := d.Read(content, nil, a, n, limit)
 		return err == nil
 	}
 	for _, size := range []int64{SmallBody + 1, mediumBody, 8 << 20, 30 << 20, limit} {
--- a/internal/gate/depot/held.go
+++ b/internal/gate/depot/held.go
@@ -7,13 +7,13 @@
 	"dandelionrock.example/dandelionrock/internal/plan/shed"
 )
 
-// heldShare is the share of the memory for all that is held of responses, and for requests
-// that arrive ahead of their turn: while it is read from a target, is on its way between
-// instances, waits for its turn or for its client. The part for responses that are being
-// read, responseShare, lies within it.
+// heldShare is the share of the memory for all that is held of requests, apart from their
+// large bodies, and of responses: while it arrives, is on its way between instances, waits
+// for its turn or for its client. The part for responses that are being read,
+// responseShare, lies within it.
 const heldShare = 0.25
 
-// held is the memory for responses.
+// held is the memory for connections, requests and responses.
 type held struct {
 	mu     sync.Mutex
 	ledger *shed.Ledger
@@ -33,11 +33,12 @@
 
 // Open returns the tab of a new connection, which must be closed. evict must close the
 // connection, and so have all that it holds given back.
-func (d *Depot) Open(evict func(shed.Victim)) *Tab {
+func (d *Depot) Open(now clock.Time, evict func(shed.Victim)) *Tab {
 	h := &d.held
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.last++
+	h.ledger.Open(now, h.last)
 	t := &Tab{h, h.last, evict}
 	h.tabs[t.id] = t
 	return t
@@ -78,10 +79,11 @@
 	}
 }
 
-func (h *held) setLimit(n int64) {
+// setLimit sets the limit to that of a process that has the given memory in bytes.
+func (h *held) setLimit(memory int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.ledger.SetLimit(shed.Bytes(n))
+	h.ledger.SetLimit(shed.Bytes(float64(memory) * heldShare))
 	h.evict()
 }
 
@@ -93,6 +95,31 @@
 	}
 }
 
+// Admit counts n bytes of a request like Hold, unless there is no memory for them. It
+// fails with ErrFull then.
+func (t *Tab) Admit(n int64) error {
+	if t == nil {
+		return nil
+	}
+	return t.held.admit(t.id, n)
+}
+
+// Admit counts n bytes that belong to no connection of this instance, unless there is no
+// memory for them. It fails with ErrFull then.
+func (d *Depot) Admit(n int64) error { return d.held.admit(shed.Others, n) }
+
+func (h *held) admit(id shed.ID, n int64) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.ledger.Admits(shed.Bytes(n)) {
+		h.evict()
+		return ErrFull
+	}
+	h.ledger.Hold(id, shed.Bytes(n))
+	h.evict()
+	return nil
+}
+
 // HasRoom reports whether a request of the connection may run ahead of its turn.
 func (t *Tab) HasRoom() bool {
 	if t == nil {
@@ -105,31 +132,36 @@
 
 // Write records that a write to the connection begins, or that the client has taken a part
 // of it.
-func (t *Tab) Write() {
-	if t == nil {
-		return
-	}
-	t.held.mu.Lock()
-	defer t.held.mu.Unlock()
-	t.held.ledger.Write(clock.Boot(), t.id)
-}
+func (t *Tab) Write() { t.record(func(l *shed.Ledger) { l.Write(clock.Boot(), t.id) }) }
 
 // Written records that a write has ended.
-func (t *Tab) Written() {
-	if t == nil {
-		return
-	}
-	t.held.mu.Lock()
-	defer t.held.mu.Unlock()
-	t.held.ledger.Written(t.id)
+func (t *Tab) Written() { t.record(func(l *shed.Ledger) { l.Written(t.id) }) }
+
+// Receive records that the client is to send from now on, or to close the connection.
+func (t *Tab) Receive(now clock.Time) { t.record(func(l *shed.Ledger) { l.Receive(now, t.id) }) }
+
+// Received records that the client has sent n bytes of what it is to send.
+func (t *Tab) Received(now clock.Time, n int) {
+	t.record(func(l *shed.Ledger) { l.Received(now, t.id, shed.Bytes(n)) })
 }
 
+// Serve records that the client has sent all that it is to send.
+func (t *Tab) Serve() { t.record(func(l *shed.Ledger) { l.Serve(t.id) }) }
+
 // Close forgets the connection. Bytes that it still holds are given back later.
 func (t *Tab) Close() {
+	t.record(func(l *shed.Ledger) {
+		l.Close(t.id)
+		delete(t.held.tabs, t.id)
+	})
+}
+
+// record calls f with the ledger.
+func (t *Tab) record(f func(l *shed.Ledger)) {
 	if t == nil {
 		return
 	}
 	t.held.mu.Lock()
 	defer t.held.mu.Unlock()
-	delete(t.held.tabs, t.id)
+	f(t.held.ledger)
 }
--- a/internal/gate/entry/body_test.go
+++ b/internal/gate/entry/body_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"dandelionrock.example/dandelionrock/internal/edge"
+	"dandelionrock.example/dandelionrock/internal/gate/depot"
 	"dandelionrock.example/dandelionrock/internal/header"
 	"dandelionrock.example/dandelionrock/platform"
 )
@@ -163,3 +164,57 @@
 		}
 	}
 }
+
+// Guards against requests that wait for ever for the rest of a small body, also those that
+// no route matches, and against memory that they keep.
+func TestUnfinishedSmallBodies(t *testing.T) {
+	const (
+		deadline = 300 * time.Millisecond
+		patience = 5 * time.Second
+	)
+	e, address := serve(t)
+	for _, c := range []struct {
+		path    string
+		length  int64
+		chunked bool
+		status  int
+	}{
+		{"/orders/x", 100, false, http.StatusServiceUnavailable},
+		{"/orders/x", depot.SmallBody, false, http.StatusServiceUnavailable},
+		{"/orders/x", 100, true, http.StatusServiceUnavailable},
+		{"/nowhere", 100, false, http.StatusNotFound},
+		{"/nowhere", 100, true, http.StatusNotFound},
+	} {
+		t.Run(fmt.Sprint(c.path, " ", c.length, " ", c.chunked), func(t *testing.T) {
+			k, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer k.Close()
+			framing := fmt.Sprint("Content-Length: ", c.length)
+			var w io.Writer = k
+			if c.chunked {
+				framing, w = "Transfer-Encoding: chunked", chunks{k}
+			}
+			fmt.Fprintf(k, "POST %s HTTP/1.1\r\nHost: example\r\n%s: a\r\n%s: %d\r\n%s\r\n\r\n", c.path, platform.HeaderAttempt, platform.HeaderDeadline, deadline.Milliseconds(), framing)
+			_, _ = io.CopyN(w, zeros{}, c.length-1)
+			_ = k.SetReadDeadline(time.Now().Add(patience))
+			r := bufio.NewReader(k)
+			a, err := http.ReadResponse(r, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if a.StatusCode != c.status || !a.Close {
+				t.Errorf("status %d, closes %v, want %d", a.StatusCode, a.Close, c.status)
+			}
+			if _, err := r.ReadByte(); err != io.EOF {
+				t.Errorf("the connection goes on: %v", err)
+			}
+		})
+	}
+	for end := time.Now().Add(patience); e.Bodies.Held() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes are still held", e.Bodies.Held())
+		}
+	}
+}
--- a/internal/gate/entry/entry.go
+++ b/internal/gate/entry/entry.go
@@ -158,17 +158,12 @@
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header()["Date"] = nil
 	v := e.Views.View()
-	if v.Desired == nil {
-		e.refuse(w, r, http.StatusServiceUnavailable, "no-configuration", e.configurationRetryAfter())
-		return
-	}
-	route := match.Route(v.Desired.Routes, r.Host, uri(r))
-	if route == nil && e.mayBeOutdated() {
-		e.refuse(w, r, http.StatusServiceUnavailable, "configuration-outdated", retryAfterOutdated)
-		return
-	}
+	route, f := e.route(v, r)
 	if route == nil {
-		e.refuse(w, r, http.StatusNotFound, "no-route", 0)
+		if hasBody(r) {
+			endConnection(w)
+		}
+		e.refuse(w, r, f.status, f.reason, f.retryAfter)
 		return
 	}
 	begin := hangup.Arrived(r.Context())
@@ -197,6 +192,28 @@
 	q.respond(w)
 }
 
+// refusal is the response to a request that was not run.
+type refusal struct {
+	status     int
+	reason     string
+	retryAfter time.Duration
+}
+
+// route returns the route of a request, or nil and why the request is refused.
+func (e *Entry) route(v *view.View, r *http.Request) (*platform.Route, refusal) {
+	if v.Desired == nil {
+		return nil, refusal{http.StatusServiceUnavailable, "no-configuration", e.configurationRetryAfter()}
+	}
+	t := match.Route(v.Desired.Routes, r.Host, uri(r))
+	switch {
+	case t == nil && e.mayBeOutdated():
+		return nil, refusal{http.StatusServiceUnavailable, "configuration-outdated", retryAfterOutdated}
+	case t == nil:
+		return nil, refusal{http.StatusNotFound, "no-route", 0}
+	}
+	return t, refusal{}
+}
+
 // EndsConnections implements hangup.Policy.
 func (e *Entry) EndsConnections() bool { return e.Leaving() }
 
--- a/internal/gate/hangup/ahead.go
+++ b/internal/gate/hangup/ahead.go
@@ -84,9 +84,6 @@
 
 // add adds a connection with its first request.
 func (n *Runner) add(c *conn) {
-	if n.bounded != nil {
-		c.tab = n.bounded.Memory().Open(c.evict)
-	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.conns[c] = struct{}{}
--- a/internal/gate/hangup/close.go
+++ b/internal/gate/hangup/close.go
@@ -38,6 +38,11 @@
 func (c *conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.close()
+}
+
+// close is Close for a caller that holds mu.
+func (c *conn) close() error {
 	if c.closed {
 		return net.ErrClosed
 	}
@@ -46,27 +51,43 @@
 	if c.cancel != nil {
 		c.cancel(nil)
 	}
-	if c.runner != nil {
-		c.runner.remove(c)
-	}
+	c.runner.remove(c)
 	c.ahead, c.size, c.head = nil, 0, nil
 	c.count()
-	c.tab.Close()
 	if c.err == nil {
 		c.err = net.ErrClosed
 	}
 	c.changed.Broadcast()
 	if c.peerEnded || c.isReceived() {
-		return c.Conn.Close()
+		return c.release()
 	}
 	// Ends the reads and writes in progress, whose deadlines the server can't set any
 	// more.
 	if err := c.Conn.SetDeadline(past); err != nil {
-		return errors.Join(err, c.Conn.Close())
+		return errors.Join(err, c.release())
 	}
-	return c.closing.Close(c.Conn, c.awaitReader)
+	c.tab.Receive(clock.Boot())
+	return c.closing.Close(socket{c}, c.awaitReader)
+}
+
+// release closes the connection to the network.
+func (c *conn) release() error {
+	defer c.tab.Close()
+	return c.Conn.Close()
 }
 
+// socket is the connection to the network of a conn that the server has closed.
+type socket struct{ *conn }
+
+// Read implements net.Conn.
+func (s socket) Read(b []byte) (int, error) { return s.Conn.Read(b) }
+
+// SetReadDeadline implements net.Conn.
+func (s socket) SetReadDeadline(t time.Time) error { return s.Conn.SetReadDeadline(t) }
+
+// Close implements net.Conn.
+func (s socket) Close() error { return s.release() }
+
 // isReceived reports whether the client has received all that was written, receiveTime ago
 // or earlier. Where the system doesn't tell, the time decides.
 func (c *conn) isReceived() bool {
--- a/internal/gate/hangup/close_test.go
+++ b/internal/gate/hangup/close_test.go
@@ -16,7 +16,7 @@
 )
 
 // listen returns a listener and a connection to it, and the group that closes it.
-func listen(t *testing.T) (Listener, net.Conn, *linger.Group) {
+func listen(t *testing.T, n *Runner) (Listener, net.Conn, *linger.Group) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -28,16 +28,16 @@
 	}
 	t.Cleanup(func() { _, _ = c.Close(), l.Close() })
 	g := linger.New()
-	return NewListener(l, g), c, g
+	return NewListener(l, g, n), c, g
 }
 
 // Guards against requests that are executed without an answer, because they cross the
 // close of their idle connection, and against connections that are reset then.
 func TestRequestsCrossingShutdown(t *testing.T) {
 	for round := range 200 {
-		l, c, g := listen(t)
 		var executed atomic.Int64
 		n := Handler(http.HandlerFunc(func(_ http.ResponseWriter, _ *http.Request) { executed.Add(1) }))
+		l, c, g := listen(t, n)
 		s := &http.Server{Handler: n, ConnContext: ConnContext}
 		go func() { _ = s.Serve(l) }()
 		r := bufio.NewReader(c)
@@ -72,7 +72,7 @@
 
 func closeDuringRead(t *testing.T) {
 	t.Helper()
-	l, c, g := listen(t)
+	l, c, g := listen(t, Handler(http.NotFoundHandler()))
 	s, err := l.Accept()
 	if err != nil {
 		t.Fatal(err)
@@ -122,7 +122,7 @@
 // was written long before.
 func TestCloseOfASlowReceiver(t *testing.T) {
 	const size = 512 << 10
-	l, c, g := listen(t)
+	l, c, g := listen(t, Handler(http.NotFoundHandler()))
 	s, err := l.Accept()
 	if err != nil {
 		t.Fatal(err)
@@ -145,14 +145,15 @@
 
 // Guards against a forced end that doesn't end requests, writes or clients that stay.
 func TestForcedClose(t *testing.T) {
-	l, c, g := listen(t)
 	ended := make(chan struct{})
-	s := &http.Server{ConnContext: ConnContext, Handler: Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	n := Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		defer close(ended)
 		for b := make([]byte, 1<<20); r.Context().Err() == nil; {
 			_, _ = w.Write(b)
 		}
-	}))}
+	}))
+	l, c, g := listen(t, n)
+	s := &http.Server{ConnContext: ConnContext, Handler: n}
 	go func() { _ = s.Serve(l) }()
 	send(t, c, fmt.Sprintf(getFormat, 1))
 	time.Sleep(200 * time.Millisecond)
--- a/internal/gate/hangup/hangup.go
+++ b/internal/gate/hangup/hangup.go
@@ -36,10 +36,11 @@
 type Listener struct {
 	net.Listener
 	closing *linger.Group
+	runner  *Runner
 }
 
-// NewListener returns a listener whose connections are closed by g.
-func NewListener(l net.Listener, g *linger.Group) Listener { return Listener{l, g} }
+// NewListener returns a listener for the requests of n, whose connections are closed by g.
+func NewListener(l net.Listener, g *linger.Group, n *Runner) Listener { return Listener{l, g, n} }
 
 // Accept waits for the next connection.
 func (l Listener) Accept() (net.Conn, error) {
@@ -47,9 +48,11 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: n, closing: l.closing}
+	c := &conn{Conn: n, closing: l.closing, runner: l.runner}
 	c.changed.L = &c.mu
-	c.wroteAt.Store(int64(clock.Boot()))
+	now := clock.Boot()
+	c.wroteAt.Store(int64(now))
+	c.open(now)
 	return c, nil
 }
 
@@ -105,14 +108,14 @@
 	untracked bool
 	// alone is set while a request is served that must run alone.
 	alone bool
-	// runner executes requests ahead, with contexts made from base. Both are those
-	// of the request that is served.
+	// runner executes requests ahead, with contexts made from base, which is that of the
+	// request that is served.
 	runner *Runner
 	base   context.Context
-	// serving is the request that was passed to the handler last.
+	// serving is the request that was passed to the handler last; nil before the first.
 	serving *http.Request
-	// tab counts what is held for the connection, from the first request on, and counted
-	// is the part of it for requests that wait for their turn.
+	// tab counts what is held for the connection, and counted is the part of it for
+	// requests that wait for their turn. tab is nil if nothing is counted.
 	tab     *depot.Tab
 	counted int64
 }
@@ -142,6 +145,7 @@
 		return 0, net.ErrClosed
 	}
 	c.peerEnded = c.peerEnded || isEnd(err)
+	c.tab.Received(c.arrived, n)
 	c.observe(b[:n], c.arrived)
 	c.count()
 	if err == nil && c.cancel != nil {
@@ -196,6 +200,7 @@
 			now := clock.Boot()
 			c.ahead = append(c.ahead, chunk{bytes.Clone(c.buffer[:n]), now})
 			c.size += n
+			c.tab.Received(now, n)
 			c.observe(c.buffer[:n], now)
 			c.count()
 			c.startAhead()
@@ -227,14 +232,14 @@
 		return nil, false
 	}
 	c.cancel = cancel
-	c.requests++
-	if c.runner == nil {
+	if c.requests++; c.requests == 1 {
 		n.add(c)
 	}
+	c.tab.Serve()
 	c.serving = r
 	q := c.take(r)
 	c.count()
-	c.runner, c.base, c.alone = n, context.WithoutCancel(r.Context()), !n.mayRun(r)
+	c.base, c.alone = context.WithoutCancel(r.Context()), !n.mayRun(r)
 	if c.err != nil {
 		cancel(nil)
 		return q, true
@@ -250,6 +255,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.cancel = nil
+	c.tab.Receive(c.arrived)
 }
 
 // Arrived returns when the last bytes of the request with context c arrived. For
@@ -283,6 +289,16 @@
 	return n.requests > 1
 }
 
+// Tab returns the tab of the connection of the request with context c, or nil if nothing is
+// counted for it.
+func Tab(c context.Context) *depot.Tab {
+	n, ok := c.Value(key{}).(*conn)
+	if !ok {
+		return nil
+	}
+	return n.tab
+}
+
 // key is the context key of a request's connection.
 type key struct{}
 
@@ -321,8 +337,12 @@
 		q.deliver(c, w, n.policy)
 		return
 	}
+	r = r.WithContext(c)
 	if k.tab != nil {
 		w = writer{w, k.tab}
+		if r.Body != http.NoBody {
+			r.Body = &bodyReader{ReadCloser: r.Body, conn: k}
+		}
 	}
-	n.handler.ServeHTTP(w, r.WithContext(c))
+	n.handler.ServeHTTP(w, r)
 }
--- a/internal/gate/hangup/hangup_test.go
+++ b/internal/gate/hangup/hangup_test.go
@@ -43,7 +43,7 @@
 	})
 	s := &http.Server{Handler: n, ConnContext: ConnContext, ReadHeaderTimeout: time.Second}
 	g := linger.New()
-	go func() { _ = s.Serve(NewListener(l, g)) }()
+	go func() { _ = s.Serve(NewListener(l, g, n)) }()
 	t.Cleanup(func() {
 		_ = s.Close()
 		g.Wait(t.Context())
--- a/internal/gate/hangup/held.go
+++ b/internal/gate/hangup/held.go
@@ -1,10 +1,11 @@
 package hangup
 
 import (
+	"io"
 	"net"
 	"net/http"
-	"time"
 
+	"dandelionrock.example/dandelionrock/clock"
 	"dandelionrock.example/dandelionrock/internal/gate/depot"
 	"dandelionrock.example/dandelionrock/internal/plan/shed"
 )
@@ -23,38 +24,74 @@
 type Bounded interface {
 	// Memory returns the owner of that memory.
 	Memory() *depot.Depot
-	// Evicted is called when a connection has been closed because of what it held.
+	// Evicted is called when a connection has been closed because of what it took.
 	Evicted(e Eviction)
 }
 
-// Eviction describes a connection that has been closed because of what it held.
+// Eviction describes a connection that has been closed because of what it took.
 type Eviction struct {
-	// Request is the request that was served, and Remote the address of the client.
+	shed.Victim
+	// Request is the request that was served last, nil if there was none, and Remote the
+	// address of the client.
 	Request *http.Request
 	Remote  net.Addr
-	// Bytes were held for it, and the client had taken none of a response for Blocked.
-	Bytes   int64
-	Blocked time.Duration
 	// Owed is the number of requests that get no response, or not all of it.
 	Owed int
 }
 
+// open opens the tab of a connection, if anything is counted.
+func (c *conn) open(now clock.Time) {
+	if c.runner.bounded != nil {
+		c.tab = c.runner.bounded.Memory().Open(now, c.evict)
+	}
+}
+
 // evict closes the connection at once: what the client has not received is dropped, also
 // by the kernel.
 func (c *conn) evict(v shed.Victim) {
-	e := Eviction{Remote: c.RemoteAddr(), Bytes: int64(v.Bytes), Blocked: v.Blocked, Owed: c.owed()}
+	e := Eviction{Victim: v, Remote: c.RemoteAddr(), Owed: c.owed()}
 	c.mu.Lock()
-	n, closed := c.runner, c.closed
-	e.Request, c.peerEnded = c.serving, true
-	c.mu.Unlock()
-	if closed {
+	defer c.mu.Unlock()
+	if c.closed {
 		return
 	}
+	e.Request, c.peerEnded = c.serving, true
 	if t, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
 		_ = t.SetLinger(0) // the connection is closed in any case
 	}
-	_ = c.Close() // it is closed, or has just been
-	n.bounded.Evicted(e)
+	_ = c.close() // it is closed, or has just been
+	c.runner.bounded.Evicted(e)
+}
+
+// bodyReader is the body of a request while its client sends it.
+type bodyReader struct {
+	io.ReadCloser
+	conn *conn
+	// begun is set once the body is read.
+	begun bool
+}
+
+// Read implements io.Reader. It fails once the connection is closed, also if the body is
+// whole: its request must not be passed on then.
+func (b *bodyReader) Read(p []byte) (int, error) {
+	c := b.conn
+	if !b.begun {
+		b.begun = true
+		c.mu.Lock()
+		c.tab.Receive(c.arrived)
+		c.mu.Unlock()
+	}
+	n, err := b.ReadCloser.Read(p)
+	if err == nil {
+		return n, nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed
+	}
+	c.tab.Serve()
+	return n, err
 }
 
 // count counts the requests that wait for their turn. The caller holds mu.
--- a/internal/gate/meter/meter.go
+++ b/internal/gate/meter/meter.go
@@ -151,11 +151,12 @@
 	s.Counter("cut_requests").Inc(1)
 }
 
-// Evicted counts a connection that was closed because of the responses that its client had
-// not read, and the bytes that it held.
-func (m *Meter) Evicted(held int64) {
-	m.scope.Counter("unread_connections_closed").Inc(1)
-	m.scope.Counter("unread_bytes_dropped").Inc(held)
+// Evicted counts a connection that was closed because memory or places for connections ran
+// short, by the reason, and the bytes that it held.
+func (m *Meter) Evicted(reason string, held int64) {
+	s := m.scope.Tagged(map[string]string{"reason": reason})
+	s.Counter("evicted_connections").Inc(1)
+	s.Counter("evicted_bytes").Inc(held)
 }
 
 // KeysMoved counts keys that got another owner, and records how long they had none.
--- a/internal/gate/router/bodies.go
+++ b/internal/gate/router/bodies.go
@@ -9,8 +9,14 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// reasonBodyMissing states that the body that was sent ahead of a request has been dropped.
-const reasonBodyMissing = "body-missing"
+const (
+	// reasonBodyMissing states that the body that was sent ahead of a request has been
+	// dropped.
+	reasonBodyMissing = "body-missing"
+	// reasonMemoryFull states that other requests and responses take the memory.
+	reasonMemoryFull     = "memory-full"
+	retryAfterMemoryFull = 500 * time.Millisecond
+)
 
 // Body receives a piece of a body, ahead of its request.
 func (g *gate) Body(q *schema.BodyPiece, a *schema.BodyPieceReply) (err error) {
@@ -46,7 +52,7 @@
 		_ = b.Close()
 	}()
 	q.Request.Body = b.Bytes()
-	return g.Send(q.Request, a)
+	return g.send(q.Request, a, 0)
 }
 
 // releaseReply gives the memory of a reply of Send or SendStored back.
--- a/internal/gate/router/peers.go
+++ b/internal/gate/router/peers.go
@@ -39,14 +39,26 @@
 
 // Send executes a request. An instance that is shutting down refuses it, since
 // it could end before the answer arrives, and one that has just started because it
-// may not know the target yet.
+// may not know the target yet. One without memory for it refuses it as well.
 func (g *gate) Send(q *schema.SendRequest, a *schema.SendReply) (err error) {
 	defer g.n.guard.Recover("send", &err)
+	return g.send(q, a, int64(len(q.Body)))
+}
+
+// send is like Send for a request of whose body the given number of bytes is not counted
+// yet.
+func (g *gate) send(q *schema.SendRequest, a *schema.SendReply, body int64) error {
 	if r := g.n.unavailable(); r != "" {
 		a.Outcome, a.Reason = schema.SendOutcome_SEND_OUTCOME_REFUSED, r
 		return nil
 	}
-	err = g.n.homes.Send(q, a)
+	size := body
+	if g.n.bodies.Admit(size) != nil {
+		a.Outcome, a.Reason, a.RetryMs = schema.SendOutcome_SEND_OUTCOME_REFUSED, reasonMemoryFull, retryAfterMemoryFull.Milliseconds()
+		return nil
+	}
+	defer g.n.bodies.Hold(-size)
+	err := g.n.homes.Send(q, a)
 	g.n.bodies.Hold(int64(cap(a.Body)))
 	return err
 }
--- a/internal/plan/shed/shed.go
+++ b/internal/plan/shed/shed.go
@@ -1,6 +1,6 @@
-// Package shed decides which connections are closed when responses take too much memory
-// because clients read them slowly or not at all. It answers the load of clients that send
-// many requests ahead, get long responses and read little of them. It performs no I/O.
+// Package shed decides which connections of clients are closed when they take too much
+// memory. It answers the load of clients that get long responses and read little of them,
+// or send requests that they don't finish. It performs no I/O.
 package shed
 
 import (
@@ -23,16 +23,23 @@
 	// roomShare is the share of the limit up to which all connections have room.
 	roomShare = 0.4
 	// blockedShare is the share of the limit above which connections are closed whose
-	// clients have taken nothing for minBlocked.
+	// clients have kept the instance waiting for minBlocked.
 	blockedShare = 0.6
 	minBlocked   = 100 * time.Millisecond
+	// admitShare is the share of the limit up to which bytes are admitted that can be
+	// refused. A request needs room for admitFactor ones like it.
+	admitShare  = 0.8
+	admitFactor = 16
 	// fairShare is the share of the limit that a connection may hold and still have room.
 	fairShare = 1.0 / 256
-	// baseTime is added to the time for which a client has taken nothing, so that among
-	// connections that make progress the bytes decide.
+	// baseTime is added to the time for which a client has kept the instance waiting, so
+	// that among connections that make progress the bytes decide.
 	baseTime = time.Millisecond
 	// searchInterval is the time after a search that found no connection to close.
 	searchInterval = minBlocked / 10
+	// minRate is the number of bytes per second that a client must send of a request not to
+	// count as one that keeps the instance waiting.
+	minRate = 64 << 10
 )
 
 // Victim is a connection to close.
@@ -40,36 +47,52 @@
 	ID ID
 	// Bytes are held for the connection.
 	Bytes Bytes
-	// Blocked is how long the client has taken nothing of a response; 0 if none is being
-	// written.
+	// Blocked is how long the client has kept the instance waiting; 0 if it doesn't.
 	Blocked time.Duration
 }
 
-// Ledger holds the bytes that are held for each connection. Use New. It is not safe for
-// concurrent use.
+// Ledger holds what connections take. Use New. It is not safe for concurrent use.
 type Ledger struct {
 	limit Bytes
 	// total is the sum of the bytes of all connections and of others. leaving is the part
-	// of it that belongs to connections that Next has returned.
+	// of it that belongs to connections that have been chosen.
 	total, leaving Bytes
 	conns          map[ID]*conn
 	// searchAt is when the connections are searched next, unless the ledger is full.
 	searchAt clock.Time
 }
 
-// conn is a connection that holds bytes or is written to.
+// conn is a connection that is open, holds bytes or is written to.
 type conn struct {
 	bytes Bytes
-	// writing is set while a write waits for the client, which has taken nothing since
-	// then.
-	writing bool
-	since   clock.Time
-	// chosen is set when Next has returned the connection.
+	// open is set from Open to Close.
+	open bool
+	// receiving is set while the client is to send a request or the rest of one, or to
+	// close the connection, and writing while it is to take a response. since is when it
+	// began to keep the instance waiting.
+	receiving, writing bool
+	since              clock.Time
+	// chosen is set when the connection has been named as a victim.
 	chosen bool
 }
 
-// New returns a Ledger without bytes.
-func New(limit Bytes) *Ledger { return &Ledger{limit: limit, conns: map[ID]*conn{}} }
+// New returns a Ledger of no connections.
+func New(limit Bytes) *Ledger {
+	return &Ledger{limit: limit, conns: map[ID]*conn{}}
+}
+
+// Open records that a connection has been opened, whose client is to send a request.
+func (l *Ledger) Open(now clock.Time, id ID) {
+	l.conns[id] = &conn{open: true, receiving: true, since: now}
+}
+
+// Close records that a connection has been closed. What it still holds is removed later.
+func (l *Ledger) Close(id ID) {
+	if c := l.conns[id]; c != nil {
+		c.open, c.receiving, c.writing = false, false, false
+		l.drop(id, c)
+	}
+}
 
 // SetLimit sets the bytes that may be held.
 func (l *Ledger) SetLimit(n Bytes) { l.limit = n }
@@ -81,6 +104,12 @@
 // that are being closed.
 func (l *Ledger) Full() bool { return l.total-l.leaving > l.limit }
 
+// Admits reports whether n more bytes may be held that can be refused. Long requests leave
+// room for short ones.
+func (l *Ledger) Admits(n Bytes) bool {
+	return float64(l.total-l.leaving+admitFactor*n) <= admitShare*float64(l.limit)
+}
+
 // Hold adds n bytes, or removes them if n is negative.
 func (l *Ledger) Hold(id ID, n Bytes) {
 	l.total += n
@@ -109,6 +138,27 @@
 	l.drop(id, c)
 }
 
+// Receive records that the client is to send, from now on or from its last write on.
+func (l *Ledger) Receive(now clock.Time, id ID) {
+	if c := l.conns[id]; c != nil && c.open {
+		c.receiving, c.since = true, max(c.since, now)
+	}
+}
+
+// Received records that the client has sent n bytes of what it is to send.
+func (l *Ledger) Received(now clock.Time, id ID, n Bytes) {
+	if c := l.conns[id]; c != nil && c.open {
+		c.since = min(now, c.since.Add(time.Duration(n)*time.Second/minRate))
+	}
+}
+
+// Serve records that the client has sent all that it is to send.
+func (l *Ledger) Serve(id ID) {
+	if c := l.conns[id]; c != nil {
+		c.receiving = false
+	}
+}
+
 // HasRoom reports whether a request of a connection may run ahead of its turn.
 func (l *Ledger) HasRoom(id ID) bool {
 	if float64(l.total) <= roomShare*float64(l.limit) {
@@ -118,9 +168,9 @@
 	return l.total <= l.limit && (c == nil || float64(c.bytes) <= fairShare*float64(l.limit))
 }
 
-// Next returns the next connection to close, or false if there is none. The connection
-// that holds most bytes for longest pays first. Within the limit only those pay whose
-// clients take nothing.
+// Next returns the next connection to close because of memory, or false if there is none.
+// The connection that holds most bytes for longest pays first. Within the limit only those
+// pay whose clients keep the instance waiting.
 func (l *Ledger) Next(now clock.Time) (Victim, bool) {
 	if float64(l.total-l.leaving) <= blockedShare*float64(l.limit) || now < l.searchAt && !l.Full() {
 		return Victim{}, false
@@ -128,10 +178,7 @@
 	var most float64
 	var v Victim
 	for id, c := range l.conns {
-		var d time.Duration
-		if c.writing {
-			d = now.Sub(c.since)
-		}
+		d := c.blocked(now)
 		if c.chosen || d < minBlocked && !l.Full() {
 			continue
 		}
@@ -150,6 +197,14 @@
 	return v, true
 }
 
+// blocked returns how long the client has kept the instance waiting, or 0.
+func (c *conn) blocked(now clock.Time) time.Duration {
+	if !c.receiving && !c.writing {
+		return 0
+	}
+	return now.Sub(c.since)
+}
+
 // conn returns the state of a connection.
 func (l *Ledger) conn(id ID) *conn {
 	c := l.conns[id]
@@ -160,9 +215,9 @@
 	return c
 }
 
-// drop forgets a connection that holds nothing and isn't written to.
+// drop forgets a connection that is not open, holds nothing and isn't written to.
 func (l *Ledger) drop(id ID, c *conn) {
-	if c.bytes == 0 && !c.writing {
+	if c.bytes == 0 && !c.writing && !c.open {
 		delete(l.conns, id)
 	}
 }
