hangup, router: heads count with what their fields take

Cause: a field of 7 bytes takes some hundred bytes once it is parsed, at the server, ahead of its turn and in the message to the home; a head counted with its bytes, and the head of the request that is served not at all. Change: heads count with 384 bytes for each field, while they arrive, wait and are served, and at homes with 128. While memory is short, heads ahead of their turn are not parsed. Why it works: the ledger sees the cost as the lines arrive, before they are parsed, and closes those that hold most.

--- a/internal/fault/crowd/uploads_test.go
+++ b/internal/fault/crowd/uploads_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -51,6 +52,7 @@
 	{name: "chunks-of-1MiB", clients: 60, send: inChunks(8<<20, 1<<20, 0)},
 	{name: "length-over-the-limit", clients: 100, send: byLength(10<<30, 256<<20, 64<<10, 0)},
 	{name: "chunks-over-the-limit", clients: 20, send: inChunks(256<<20, 64<<10, 0)},
+	{name: "heads-ahead", clients: 100, send: sendHeads},
 }
 
 // Guards an instance against clients that send bodies and heads without end, or don't
@@ -288,3 +290,29 @@
 		return nil
 	}
 }
+
+const (
+	// headsAhead is the number of requests that a client with long heads sends ahead of
+	// one another, and headSize the size of each head in bytes; max-header-bytes is 16384.
+	headsAhead = 4
+	headSize   = 15 << 10
+)
+
+// sendHeads sends requests whose heads have many short fields.
+func sendHeads(w *bufio.Writer, client int) error {
+	for range headsAhead {
+		head := len("GET /terms/x HTTP/1.1\r\n")
+		fmt.Fprintf(w, "GET /terms/x HTTP/1.1\r\nHost: example\r\n%s: h%d-%d\r\n%s: 5000\r\n", platform.HeaderAttempt, client, attempts.Add(1), platform.HeaderDeadline)
+		for i := 0; head < headSize-100; i++ {
+			n, err := fmt.Fprintf(w, "x%s:1\r\n", strconv.FormatInt(int64(i), 36))
+			if err != nil {
+				return err
+			}
+			head += n
+		}
+		if _, err := w.WriteString("\r\n"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/gate/hangup/ahead.go
+++ b/internal/gate/hangup/ahead.go
@@ -106,6 +106,8 @@
 // the handler yet.
 type queued struct {
 	request *http.Request
+	// size is about the memory of the request in bytes.
+	size int64
 	// at is when the head was complete.
 	at clock.Time
 	// done is closed when the execution has ended; nil if it has not begun.
@@ -182,9 +184,13 @@
 var headEnd = []byte("\r\n\r\n")
 
 // enqueue parses a head and queues its request. If the end of the request can't be
-// told, the connection is no longer tracked, and its further requests wait for
-// their turn.
+// told, or there is no room for requests that wait, the connection is no longer tracked,
+// and its further requests wait for their turn.
 func (c *conn) enqueue(head []byte, at clock.Time) {
+	if c.cancel != nil && !c.tab.HasRoom() {
+		c.untracked = true
+		return
+	}
 	b := bytes.NewReader(head)
 	p := bufio.NewReaderSize(b, len(head))
 	r, err := http.ReadRequest(p)
@@ -198,7 +204,9 @@
 		c.untracked = true
 		return
 	}
-	c.waiting = append(c.waiting, &queued{request: r, at: at})
+	q := &queued{request: r, size: headSize(head), at: at}
+	c.waiting = append(c.waiting, q)
+	c.queuedSize += q.size
 	c.untracked = r.Close || r.ContentLength < 0 || len(r.TransferEncoding) > 0 || r.Method == http.MethodConnect || r.Header["Upgrade"] != nil
 	c.skip = max(r.ContentLength, 0)
 }
@@ -207,14 +215,17 @@
 // returns nil if the connection is not tracked.
 func (c *conn) take(r *http.Request) *queued {
 	if len(c.waiting) == 0 {
+		c.servingSize = sizeOf(r)
 		return nil
 	}
 	q := c.waiting[0]
+	c.servingSize = q.size
 	if !sameRequest(q.request, r) {
 		c.untracked = true
 		c.dropAhead()
 		return nil
 	}
+	c.queuedSize -= q.size
 	c.waiting[0] = nil // it must not be reachable when its response is delivered
 	c.waiting = c.waiting[1:]
 	return q
@@ -308,7 +319,7 @@
 		}
 		q.response.drop()
 	}
-	c.waiting = nil
+	c.waiting, c.queuedSize = nil, 0
 }
 
 // deliver waits for the execution of a request and writes its response, or panics as
--- a/internal/gate/hangup/hangup.go
+++ b/internal/gate/hangup/hangup.go
@@ -99,6 +99,9 @@
 	// waiting holds the requests whose heads have arrived and that the server has
 	// not passed to the handler, in order.
 	waiting []*queued
+	// queuedSize is about the memory of these requests in bytes, and servingSize that of
+	// the head of the request that is served.
+	queuedSize, servingSize int64
 	// head holds the beginning of the next request, and skip the rest of the body
 	// of the last one in bytes. Both are kept while untracked is not set.
 	head []byte
@@ -114,8 +117,8 @@
 	base   context.Context
 	// serving is the request that was passed to the handler last; nil before the first.
 	serving *http.Request
-	// tab counts what is held for the connection, and counted is the part of it for
-	// requests that wait for their turn. tab is nil if nothing is counted.
+	// tab counts what is held for the connection, and counted is the part of it for heads
+	// and for requests that wait for their turn. tab is nil if nothing is counted.
 	tab     *depot.Tab
 	counted int64
 }
@@ -254,7 +257,8 @@
 func (c *conn) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.cancel = nil
+	c.cancel, c.servingSize = nil, 0
+	c.count()
 	c.tab.Receive(c.arrived)
 }
 
--- a/internal/gate/hangup/held.go
+++ b/internal/gate/hangup/held.go
@@ -1,6 +1,7 @@
 package hangup
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -14,9 +15,10 @@
 	// writeSize is the size in bytes of the parts in which responses are written, so that
 	// a client that takes some of one is told from a client that takes nothing.
 	writeSize = 64 << 10
-	// queuedSize is about the memory in bytes of a request that waits for its turn, beside
-	// its head.
-	queuedSize = 2 << 10
+	// requestSize is about the memory in bytes of a request, and fieldSize that of each
+	// field of its head, beside the text of the head.
+	requestSize = 2 << 10
+	fieldSize   = 384
 )
 
 // Bounded is implemented by handlers that bound the memory for the responses and requests
@@ -94,18 +96,42 @@
 	return n, err
 }
 
-// count counts the requests that wait for their turn. The caller holds mu.
+// count counts what has arrived and is not served, and the head of the request that is.
+// The caller holds mu.
 func (c *conn) count() {
 	if c.tab == nil {
 		return
 	}
-	n := int64(c.size + len(c.head) + len(c.waiting)*queuedSize)
+	n := int64(c.size) + c.queuedSize + c.servingSize
+	if len(c.head) > 0 {
+		n += headSize(c.head)
+	}
 	if n != c.counted {
 		c.tab.Hold(n - c.counted)
 		c.counted = n
 	}
 }
 
+// headSize returns about the memory in bytes of a request with the given head, which may
+// not be whole.
+func headSize(head []byte) int64 {
+	return int64(requestSize + len(head) + fieldSize*bytes.Count(head, lineEnd))
+}
+
+// lineEnd ends a line of a head.
+var lineEnd = []byte("\n")
+
+// sizeOf is like headSize for a request whose head has been parsed.
+func sizeOf(r *http.Request) int64 {
+	n := requestSize + len(r.RequestURI)
+	for k, vs := range r.Header {
+		for _, v := range vs {
+			n += fieldSize + len(k) + len(v)
+		}
+	}
+	return int64(n)
+}
+
 // writeParts writes b in parts, to tell whether the client takes any of it.
 func (c *conn) writeParts(b []byte) (int, error) {
 	defer c.tab.Written()
--- a/internal/gate/router/bodies.go
+++ b/internal/gate/router/bodies.go
@@ -16,6 +16,8 @@
 	// reasonMemoryFull states that other requests and responses take the memory.
 	reasonMemoryFull     = "memory-full"
 	retryAfterMemoryFull = 500 * time.Millisecond
+	// fieldSize is about the memory in bytes of a header field beside its name and value.
+	fieldSize = 128
 )
 
 // Body receives a piece of a body, ahead of its request.
@@ -55,6 +57,16 @@
 	return g.send(q.Request, a, 0)
 }
 
+// sizeOf returns about the memory in bytes of a request of another instance, apart from its
+// body.
+func sizeOf(q *schema.SendRequest) int64 {
+	n := 2 * len(q.Uri)
+	for _, f := range q.Headers {
+		n += fieldSize + len(f.Name) + len(f.Value)
+	}
+	return int64(n)
+}
+
 // releaseReply gives the memory of a reply of Send or SendStored back.
 func (n *Instance) releaseReply(m proto.Message) {
 	if a, ok := m.(*schema.SendReply); ok {
--- a/internal/gate/router/peers.go
+++ b/internal/gate/router/peers.go
@@ -52,7 +52,7 @@
 		a.Outcome, a.Reason = schema.SendOutcome_SEND_OUTCOME_REFUSED, r
 		return nil
 	}
-	size := body
+	size := sizeOf(q) + body
 	if g.n.bodies.Admit(size) != nil {
 		a.Outcome, a.Reason, a.RetryMs = schema.SendOutcome_SEND_OUTCOME_REFUSED, reasonMemoryFull, retryAfterMemoryFull.Milliseconds()
 		return nil
