shed, depot, hangup: connections of clients are bounded

Cause: clients, other instances, targets and the store share one table of descriptors, and nothing bounded the connections of clients, nor the stacks and buffers of them all. Change: an instance has as many connections of clients as 0.2 of its memory holds at 24 KiB each, and at most 0.75 of the descriptors that limits.max-fds states, less 200 for files; without the setting the limit of the system counts. When all places are taken, those connections give way whose clients have kept the instance waiting for longest: of the address that has more than half of all, if one has. A connection whose request is at work stays. If none gives way, the new one is closed, unread. Why it works: a place is only kept by a client that sends, takes its response, or waits for a target; all others can connect again without a loss, since a request whose connection was chosen isn't passed on.

--- a/internal/fault/crowd/uploads_test.go
+++ b/internal/fault/crowd/uploads_test.go
@@ -38,6 +38,8 @@
 type upload struct {
 	name    string
 	clients int
+	// descriptors is limits.max-fds; 0 stands for uploadDescriptors.
+	descriptors int
 	// send writes one request, and stops short of its end if the client is one that does.
 	send func(w *bufio.Writer, client int) error
 }
@@ -45,6 +47,7 @@
 var uploads = []upload{
 	{name: "length-short-of-a-byte", clients: 1000, send: byLength(64<<10, 64<<10-1, 64<<10, 0)},
 	{name: "length-piece-by-piece", clients: 1000, send: byLength(64<<10, 64<<10-1, 4<<10, 10*time.Millisecond)},
+	{name: "length-whole", clients: 1500, send: byLength(60_000, 60_000, 60_000, 0)},
 	{name: "length-large", clients: 100, send: byLength(2<<20, 2<<20-1, 64<<10, 0)},
 	{name: "chunks-of-8000", clients: 800, send: inChunks(65_000, 8000, 0)},
 	{name: "chunks-of-500", clients: 800, send: inChunks(65_000, 500, 0)},
@@ -53,6 +56,7 @@
 	{name: "length-over-the-limit", clients: 100, send: byLength(10<<30, 256<<20, 64<<10, 0)},
 	{name: "chunks-over-the-limit", clients: 20, send: inChunks(256<<20, 64<<10, 0)},
 	{name: "heads-ahead", clients: 100, send: sendHeads},
+	{name: "descriptors", clients: 700, descriptors: 600, send: byLength(100, 99, 100, 0)},
 }
 
 // Guards an instance against clients that send bodies and heads without end, or don't
@@ -75,6 +79,9 @@
 
 func (u upload) play(t *testing.T, bin string, m machine) {
 	u.clients *= m.crowd
+	if u.descriptors > 0 {
+		m.descriptors = u.descriptors * m.crowd
+	}
 	s := newScene(t, bin, 1, m.memory, m.descriptors)
 	p := s.processes[0]
 	s.await(t, func() error { return order(p.ip, 100) })
--- a/internal/gate/depot/depot.go
+++ b/internal/gate/depot/depot.go
@@ -48,6 +48,10 @@
 // Depot is the memory for all bodies of an instance. Use New.
 type Depot struct {
 	mu sync.Mutex
+	// memory is that of the process in bytes, and descriptors the number of files that it
+	// may have open.
+	memory      int64
+	descriptors int
 	// limit bounds used, except that limit may have been lowered since. Both are in bytes.
 	limit, used int64
 	// accounts holds the parts of used by client account, none of them 0.
@@ -70,8 +74,9 @@
 	d.responseLimit.Store(int64(float64(n) * responseShare))
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.limit = limitOf(n)
+	d.memory, d.limit = n, limitOf(n)
 	d.held.setLimit(n)
+	d.held.setMaxOpen(MaxConnections(n, d.descriptors))
 }
 
 // Capacity returns the length in bytes of the longest body that is ever admitted by a
--- a/internal/gate/depot/held.go
+++ b/internal/gate/depot/held.go
@@ -13,6 +13,38 @@
 // responseShare, lies within it.
 const heldShare = 0.25
 
+const (
+	// connMemory is the memory in bytes of a connection that holds nothing else: the
+	// stacks of its goroutines and the buffers of net/http. connShare is the share of the
+	// memory for all of them.
+	connMemory = 24 << 10
+	connShare  = 0.2
+	// fileDescriptors are those that are kept for files, and connDescriptors is the share
+	// of the others for connections of clients: the rest is for targets, other instances,
+	// the store and load balancers.
+	fileDescriptors = 200
+	connDescriptors = 0.75
+)
+
+// MaxConnections returns the number of connections of clients that an instance has at once,
+// given its memory in bytes and its file descriptors; 0 descriptors stand for any number.
+func MaxConnections(memory int64, descriptors int) int {
+	n := int(float64(memory) * connShare / connMemory)
+	if descriptors > 0 {
+		n = min(n, int(float64(descriptors-min(fileDescriptors, descriptors/2))*connDescriptors))
+	}
+	return max(n, 1)
+}
+
+// SetDescriptors sets the number of file descriptors that the process may have open; 0 means
+// any number.
+func (d *Depot) SetDescriptors(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.descriptors = n
+	d.held.setMaxOpen(MaxConnections(d.memory, n))
+}
+
 // held is the memory for connections, requests and responses.
 type held struct {
 	mu     sync.Mutex
@@ -31,17 +63,23 @@
 	evict func(shed.Victim)
 }
 
-// Open returns the tab of a new connection, which must be closed. evict must close the
-// connection, and so have all that it holds given back.
-func (d *Depot) Open(now clock.Time, evict func(shed.Victim)) *Tab {
+// Open returns the tab of a new connection, which must be closed, or false if there is no
+// place for one. evict must close the connection, and so have all that it holds given back;
+// for shed.Connections it may call Spare instead.
+func (d *Depot) Open(now clock.Time, o shed.Origin, evict func(shed.Victim)) (*Tab, bool) {
 	h := &d.held
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	for _, v := range h.ledger.Crowd(now) {
+		h.notify(v)
+	}
+	if !h.ledger.Open(now, h.last+1, o) {
+		return nil, false
+	}
 	h.last++
-	h.ledger.Open(now, h.last)
 	t := &Tab{h, h.last, evict}
 	h.tabs[t.id] = t
-	return t
+	return t, true
 }
 
 // Hold counts n bytes that belong to no connection of this instance, or gives them back if
@@ -73,9 +111,14 @@
 		if !ok {
 			return
 		}
-		if t := h.tabs[v.ID]; t != nil {
-			go t.evict(v)
-		}
+		h.notify(v)
+	}
+}
+
+// notify has a connection closed. The caller holds mu.
+func (h *held) notify(v shed.Victim) {
+	if t := h.tabs[v.ID]; t != nil {
+		go t.evict(v)
 	}
 }
 
@@ -87,6 +130,12 @@
 	h.evict()
 }
 
+func (h *held) setMaxOpen(n int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ledger.SetMaxOpen(n)
+}
+
 // Hold counts n bytes that are held for the connection, or gives them back if n is
 // negative.
 func (t *Tab) Hold(n int64) {
@@ -148,6 +197,15 @@
 // Serve records that the client has sent all that it is to send.
 func (t *Tab) Serve() { t.record(func(l *shed.Ledger) { l.Serve(t.id) }) }
 
+// Spare records that the connection stays, although evict was called.
+func (t *Tab) Spare() { t.record(func(l *shed.Ledger) { l.Spare(t.id) }) }
+
+// Waits reports whether the client keeps the instance waiting.
+func (t *Tab) Waits() (waits bool) {
+	t.record(func(l *shed.Ledger) { waits = l.Waits(t.id) })
+	return waits
+}
+
 // Close forgets the connection. Bytes that it still holds are given back later.
 func (t *Tab) Close() {
 	t.record(func(l *shed.Ledger) {
--- a/internal/gate/depot/small_test.go
+++ b/internal/gate/depot/small_test.go
@@ -17,7 +17,10 @@
 	var open []*Body
 	var err error
 	for i := range 2 * memory / SmallBody {
-		tab := d.Open(0, func(shed.Victim) {})
+		tab, ok := d.Open(0, shed.Origin(i), func(shed.Victim) {})
+		if !ok {
+			t.Fatalf("connection %d finds no place", i)
+		}
 		defer tab.Close()
 		length := int64(SmallBody - 1)
 		content := bytes.NewReader(make([]byte, length))
--- a/internal/gate/hangup/hangup.go
+++ b/internal/gate/hangup/hangup.go
@@ -42,18 +42,23 @@
 // NewListener returns a listener for the requests of n, whose connections are closed by g.
 func NewListener(l net.Listener, g *linger.Group, n *Runner) Listener { return Listener{l, g, n} }
 
-// Accept waits for the next connection.
+// Accept waits for the next connection. If the handler is Bounded, connections for which
+// there is no place are closed.
 func (l Listener) Accept() (net.Conn, error) {
-	n, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		n, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{Conn: n, closing: l.closing, runner: l.runner}
+		c.changed.L = &c.mu
+		now := clock.Boot()
+		c.wroteAt.Store(int64(now))
+		if c.open(now) {
+			return c, nil
+		}
+		_ = n.Close() // nothing was read, and so nothing is lost
 	}
-	c := &conn{Conn: n, closing: l.closing, runner: l.runner}
-	c.changed.L = &c.mu
-	now := clock.Boot()
-	c.wroteAt.Store(int64(now))
-	c.open(now)
-	return c, nil
 }
 
 // chunk holds the bytes of one read ahead and when they arrived.
--- a/internal/gate/hangup/held.go
+++ b/internal/gate/hangup/held.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"hash/fnv"
 	"io"
 	"net"
 	"net/http"
@@ -21,8 +22,8 @@
 	fieldSize   = 384
 )
 
-// Bounded is implemented by handlers that bound the memory for the responses and requests
-// of all connections.
+// Bounded is implemented by handlers that bound the number of connections, and the memory
+// for the responses and requests of all of them.
 type Bounded interface {
 	// Memory returns the owner of that memory.
 	Memory() *depot.Depot
@@ -41,24 +42,42 @@
 	Owed int
 }
 
-// open opens the tab of a connection, if anything is counted.
-func (c *conn) open(now clock.Time) {
-	if c.runner.bounded != nil {
-		c.tab = c.runner.bounded.Memory().Open(now, c.evict)
+// open opens the tab of a connection. It reports false if there is no place for one.
+func (c *conn) open(now clock.Time) bool {
+	if c.runner.bounded == nil {
+		return true
 	}
+	t, ok := c.runner.bounded.Memory().Open(now, origin(c.RemoteAddr()), c.evict)
+	c.tab = t
+	return ok
+}
+
+// origin returns the origin of connections from an address: its IP address.
+func origin(a net.Addr) shed.Origin {
+	h := fnv.New64a()
+	if t, ok := a.(*net.TCPAddr); ok {
+		_, _ = h.Write(t.IP)
+	}
+	return shed.Origin(h.Sum64())
 }
 
 // evict closes the connection at once: what the client has not received is dropped, also
-// by the kernel.
+// by the kernel. If there are too many connections, one that serves a request stays.
 func (c *conn) evict(v shed.Victim) {
 	e := Eviction{Victim: v, Remote: c.RemoteAddr(), Owed: c.owed()}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
+	switch {
+	case v.Cause == shed.Connections && c.closed:
+		_ = c.Conn.Close() // which ends the wait for the client
+	case c.closed:
+		return
+	case v.Cause == shed.Connections && (!c.tab.Waits() || c.cancel == nil && len(c.waiting) > 0):
+		c.tab.Spare()
 		return
 	}
 	e.Request, c.peerEnded = c.serving, true
-	if t, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+	if t, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok && (v.Cause == shed.Memory || c.cancel != nil) {
 		_ = t.SetLinger(0) // the connection is closed in any case
 	}
 	_ = c.close() // it is closed, or has just been
--- a/internal/gate/router/router.go
+++ b/internal/gate/router/router.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -12,6 +13,7 @@
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"dandelionrock.example/dandelionrock/clock"
@@ -284,10 +286,24 @@
 	n.entry.SetMemory(s.Memory)
 	n.entry.SetConfigApply(s.ConfigApply)
 	n.bodies.SetMemory(s.Memory)
+	n.bodies.SetDescriptors(descriptors(s))
 	n.syncer.SetBound(spreadBound(s))
 	n.warnOfBodies()
 }
 
+// descriptors returns the number of files and sockets that the process may have open: the
+// setting or, if there is none, the limit of the system; 0 if that isn't known.
+func descriptors(s *platform.Settings) int {
+	if s.Descriptors > 0 {
+		return s.Descriptors
+	}
+	var l syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l); err != nil {
+		return 0
+	}
+	return int(min(l.Cur, math.MaxInt32))
+}
+
 // spreadBound returns the time within which all instances must know a change that the
 // store has confirmed.
 func spreadBound(s *platform.Settings) time.Duration { return min(s.Drain, s.ConfigApply) }
--- a/internal/gate/tuning/tuning.go
+++ b/internal/gate/tuning/tuning.go
@@ -47,6 +47,7 @@
 		{name: "ready-address", value: s.Ready.String(), restart: true},
 		{name: "peer-address", value: s.Peer.String(), restart: true},
 		{name: "memory-bytes", value: strconv.FormatInt(s.Memory, 10)},
+		{name: "descriptors", value: strconv.Itoa(s.Descriptors)},
 		{name: "processor-cores", value: number(s.Processor)},
 		{name: "link-mbps", value: number(s.Link)},
 		{name: "store-address", value: s.Store.String(), shared: true, restart: true},
--- a/internal/plan/shed/shed.go
+++ b/internal/plan/shed/shed.go
@@ -1,6 +1,7 @@
 // Package shed decides which connections of clients are closed when they take too much
-// memory. It answers the load of clients that get long responses and read little of them,
-// or send requests that they don't finish. It performs no I/O.
+// memory or too many descriptors. It answers the load of clients that get long responses
+// and read little of them, send requests that they don't finish, or keep connections open
+// that they don't use. It performs no I/O.
 package shed
 
 import (
@@ -42,9 +43,20 @@
 	minRate = 64 << 10
 )
 
+// Cause is what a connection is closed for.
+type Cause int
+
+const (
+	// Memory means that too many bytes are held.
+	Memory Cause = iota
+	// Connections means that too many connections are open.
+	Connections
+)
+
 // Victim is a connection to close.
 type Victim struct {
-	ID ID
+	ID    ID
+	Cause Cause
 	// Bytes are held for the connection.
 	Bytes Bytes
 	// Blocked is how long the client has kept the instance waiting; 0 if it doesn't.
@@ -60,13 +72,19 @@
 	conns          map[ID]*conn
 	// searchAt is when the connections are searched next, unless the ledger is full.
 	searchAt clock.Time
+	// maxOpen bounds open, the number of open connections; 0 means that it is unbounded.
+	// closing is the part of open that has been chosen.
+	maxOpen, open, closing int
+	// origins counts the open connections by origin.
+	origins map[Origin]int
 }
 
 // conn is a connection that is open, holds bytes or is written to.
 type conn struct {
 	bytes Bytes
 	// open is set from Open to Close.
-	open bool
+	open   bool
+	origin Origin
 	// receiving is set while the client is to send a request or the rest of one, or to
 	// close the connection, and writing while it is to take a response. since is when it
 	// began to keep the instance waiting.
@@ -78,20 +96,7 @@
 
 // New returns a Ledger of no connections.
 func New(limit Bytes) *Ledger {
-	return &Ledger{limit: limit, conns: map[ID]*conn{}}
-}
-
-// Open records that a connection has been opened, whose client is to send a request.
-func (l *Ledger) Open(now clock.Time, id ID) {
-	l.conns[id] = &conn{open: true, receiving: true, since: now}
-}
-
-// Close records that a connection has been closed. What it still holds is removed later.
-func (l *Ledger) Close(id ID) {
-	if c := l.conns[id]; c != nil {
-		c.open, c.receiving, c.writing = false, false, false
-		l.drop(id, c)
-	}
+	return &Ledger{limit: limit, conns: map[ID]*conn{}, origins: map[Origin]int{}}
 }
 
 // SetLimit sets the bytes that may be held.
@@ -184,17 +189,37 @@
 		}
 		debt := float64(c.bytes) * float64(d+baseTime)
 		if debt > most || debt == most && debt > 0 && id < v.ID {
-			most, v = debt, Victim{id, c.bytes, d}
+			most, v = debt, Victim{id, Memory, c.bytes, d}
 		}
 	}
 	if most == 0 {
 		l.searchAt = now.Add(searchInterval)
 		return Victim{}, false
 	}
-	c := l.conns[v.ID]
+	l.choose(l.conns[v.ID])
+	return v, true
+}
+
+// choose marks a connection as one that is being closed.
+func (l *Ledger) choose(c *conn) {
 	c.chosen = true
 	l.leaving += c.bytes
-	return v, true
+	if c.open {
+		l.closing++
+	}
+}
+
+// Spare takes back that a connection has been named as a victim.
+func (l *Ledger) Spare(id ID) {
+	c := l.conns[id]
+	if c == nil || !c.chosen {
+		return
+	}
+	c.chosen = false
+	l.leaving -= c.bytes
+	if c.open {
+		l.closing--
+	}
 }
 
 // blocked returns how long the client has kept the instance waiting, or 0.
