--- a/internal/gate/depot/depot.go
+++ b/internal/gate/depot/depot.go
@@ -62,7 +62,7 @@
 	// there is no such body.
 	lent  int64
 	alone *Body
-	// onLent is called when lent has changed.
+	// onLent is called when lent or memory has changed.
 	onLent func(n int64)
 	// accounts holds the parts of used by client account, none of them 0.
 	accounts map[Account]int64
@@ -79,20 +79,19 @@
 	return d
 }
 
-// SetMemory sets the memory of the process in bytes. It returns the part of the memory for
-// other uses that is lent to the body of a request.
-func (d *Depot) SetMemory(n int64) (lent int64) {
+// SetMemory sets the memory of the process in bytes.
+func (d *Depot) SetMemory(n int64) {
 	d.responseLimit.Store(int64(float64(n) * responseShare))
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.memory, d.limit = n, limitOf(n)
 	d.held.setLimit(n, d.lent)
 	d.held.setMaxOpen(MaxConnections(n, d.descriptors))
-	return d.lent
+	d.onLent(d.lent)
 }
 
 // OnLent has f called with the number of bytes of the memory for other uses that is lent to
-// the body of a request, whenever that has changed.
+// the body of a request, whenever that number or the memory has changed.
 func (d *Depot) OnLent(f func(n int64)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/gate/router/router.go
+++ b/internal/gate/router/router.go
@@ -225,7 +225,8 @@
 	} {
 		n.group.Go(func() { n.guard.Run(c, duty, func() { f(c) }) })
 	}
-	n.log.Info().Str("event", "started").Str("incarnation", n.self.Incarnation).Str("settings", tuning.Digest(n.settings)).Str("failure-domain", n.self.FailureDomain).Msg("")
+	n.log.Info().Str("event", "started").Str("incarnation", n.self.Incarnation).Str("settings", tuning.Digest(n.settings)).Str("failure-domain", n.self.FailureDomain).
+		Int("max-connections", depot.MaxConnections(n.settings.Memory, descriptors(n.settings))).Msg("")
 	return nil
 }
 
@@ -285,7 +286,7 @@
 	n.entry.SetRegions(s.Regions)
 	n.entry.SetMemory(s.Memory)
 	n.entry.SetConfigApply(s.ConfigApply)
-	debug.SetMemoryLimit(goMemory(s.Memory) - n.bodies.SetMemory(s.Memory))
+	n.bodies.SetMemory(s.Memory)
 	n.bodies.SetDescriptors(descriptors(s))
 	n.syncer.SetBound(spreadBound(s))
 	n.warnOfBodies()
